--- /dev/null
+++ b/apps/lh_bench/main.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/libs/admission/include/lavenderhoist/admission.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+/** \file \brief Umbrella header: what runs on a target, what waits and what is refused. */
+
+#include "lavenderhoist/admission/controller.hpp"
+#include "lavenderhoist/admission/decision.hpp"
+#include "lavenderhoist/admission/priority.hpp"
+#include "lavenderhoist/admission/request_info.hpp"
--- /dev/null
+++ b/libs/admission/src/controller.cpp
@@ -0,0 +1,143 @@
+#include "lavenderhoist/admission/controller.hpp"
+
+#include <algorithm>
+
+namespace lavenderhoist::admission {
+namespace {
+
+constexpr int queue_divisor = 2; // the queue holds half as many requests as may run
+constexpr std::size_t least_queue_capacity = 4;
+constexpr double service_time_weight = 0.05;
+constexpr duration long_wait = std::chrono::milliseconds(20);
+constexpr duration retry_base = std::chrono::milliseconds(1'000);
+
+} // namespace
+
+controller::controller(int slots) : limit_(slots) {}
+
+std::vector<decision> controller::offer(const request_info& request, time_point now) {
+    std::vector<decision> out;
+    levels_.on_arrival(request.importance);
+    if (request.deadline <= now + service_time_ / 2) {
+        out.emplace_back(make_refusal(request.id, errc::deadline_passed));
+        return out;
+    }
+    if (in_flight() < limit_.value() && queue_.size() == 0) {
+        running_.emplace(request.id, running{now});
+        limit_.on_finished(in_flight());
+        out.emplace_back(admitted{request.id});
+        return out;
+    }
+    enqueue(request, now, out);
+    return out;
+}
+
+void controller::enqueue(const request_info& request, time_point now, std::vector<decision>& out) {
+    const auto wait = expected_wait(queue_.ahead_of(request, now));
+    if (now + wait + service_time_ > request.deadline) {
+        out.emplace_back(make_refusal(request.id, errc::overloaded));
+        return;
+    }
+    if (queue_.size() >= queue_capacity() && !queue_.precedes_last(request, now)) {
+        out.emplace_back(make_refusal(request.id, errc::queue_full));
+        return;
+    }
+    queue_.push(request, now);
+    out.emplace_back(queued{request.id});
+    refuse_surplus(out);
+}
+
+std::vector<decision> controller::end(std::uint64_t id, finish how, time_point now) {
+    std::vector<decision> out;
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return out;
+    }
+    const auto spent = now - found->second.since;
+    limit_.on_finished(in_flight());
+    running_.erase(found);
+    if (how == finish::shed) {
+        limit_.on_shed(in_flight());
+    }
+    if (how == finish::answered) {
+        ++finished_;
+        note_service_time(spent);
+    }
+    refuse_hopeless(now, out);
+    start_waiting(now, out);
+    return out;
+}
+
+bool controller::cancel(std::uint64_t id) {
+    return queue_.remove(id);
+}
+
+std::vector<decision> controller::on_window(time_point now) {
+    std::vector<decision> out;
+    const int capacity =
+        service_time_.count() <= 0
+            ? 0
+            : static_cast<int>(static_cast<double>(limit_.value()) * window_length / service_time_);
+    levels_.on_window({finished_, capacity, refused_ > 0 || longest_wait_ > long_wait});
+    limit_.on_window();
+    finished_ = 0;
+    refused_ = 0;
+    longest_wait_ = duration(0);
+    refuse_hopeless(now, out);
+    start_waiting(now, out);
+    return out;
+}
+
+void controller::start_waiting(time_point now, std::vector<decision>& out) {
+    while (in_flight() < limit_.value()) {
+        const auto next = queue_.pop();
+        if (!next) {
+            return;
+        }
+        longest_wait_ = std::max(longest_wait_, now - next->since);
+        running_.emplace(next->request.id, running{now});
+        out.emplace_back(admitted{next->request.id});
+    }
+}
+
+void controller::refuse_hopeless(time_point now, std::vector<decision>& out) {
+    for (const auto& gone : queue_.take_expired(now + service_time_ / 2)) {
+        out.emplace_back(make_refusal(gone.request.id, errc::deadline_passed));
+    }
+    refuse_surplus(out);
+}
+
+void controller::refuse_surplus(std::vector<decision>& out) {
+    while (queue_.size() > queue_capacity()) {
+        const auto id = queue_.last()->request.id;
+        queue_.remove(id);
+        out.emplace_back(make_refusal(id, errc::queue_full));
+    }
+}
+
+void controller::note_service_time(duration spent) noexcept {
+    if (service_time_.count() == 0) {
+        service_time_ = spent;
+        return;
+    }
+    const auto delta = static_cast<double>((spent - service_time_).count());
+    service_time_ += duration(static_cast<duration::rep>(delta * service_time_weight));
+}
+
+duration controller::expected_wait(std::size_t ahead) const noexcept {
+    const auto turns = static_cast<duration::rep>(ahead + 1);
+    return service_time_ * turns / std::max(1, limit_.value());
+}
+
+std::size_t controller::queue_capacity() const noexcept {
+    return std::max(least_queue_capacity, static_cast<std::size_t>(limit_.value() / queue_divisor));
+}
+
+refused controller::make_refusal(std::uint64_t id, errc reason) {
+    if (reason != errc::deadline_passed) {
+        ++refused_;
+    }
+    return {id, reason, retry_base};
+}
+
+} // namespace lavenderhoist::admission
--- /dev/null
+++ b/libs/cli/include/lavenderhoist/cli/options.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lavenderhoist/config/issue.hpp"
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/positional_options.hpp>
+#include <boost/program_options/variables_map.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace lavenderhoist::cli {
+
+/** \brief Exit codes shared by the programs. */
+enum exit_code : int {
+    exit_ok = 0,
+    exit_failed = 1,      ///< The work was refused or failed; nothing is half done.
+    exit_usage = 2,       ///< Wrong command line, settings or configuration.
+    exit_conflict = 3,    ///< Another configuration stands.
+    exit_unknown = 4,     ///< It may have taken effect.
+    exit_unreachable = 5, ///< The node did not answer.
+};
+
+/** \brief A parsed command line, or the exit code to end with at once. */
+struct parsed_options {
+    boost::program_options::variables_map values;
+    std::optional<int> exit_with;
+};
+
+/**
+ * \brief Parses a command line; answers `--help` and `--version`, rejects unknown options.
+ * \param usage first line of the help. \param options what the program takes besides these two.
+ */
+parsed_options
+parse(int argc, const char* const* argv, std::string_view usage,
+      const boost::program_options::options_description& options,
+      const boost::program_options::positional_options_description* positional = nullptr);
+
+/** \brief Reads a whole file. \returns nothing if it cannot be read. */
+std::optional<std::string> read_file(const std::string& path);
+
+/** \brief Prints one line an issue on standard error. */
+void print_issues(std::span<const config::issue> issues);
+
+} // namespace lavenderhoist::cli
--- /dev/null
+++ b/libs/core/src/clock.cpp
@@ -0,0 +1,55 @@
+#include "lavenderhoist/core/clock.hpp"
+
+#include <atomic>
+
+namespace lavenderhoist {
+namespace {
+
+// A paused clock shows `frozen`; a running one shows the steady clock plus `shift`.
+std::atomic<bool> paused{false};
+std::atomic<duration::rep> frozen{0};
+std::atomic<duration::rep> shift{0};
+std::atomic<milliseconds::rep> wall_offset{0};
+
+duration::rep steady_reading() noexcept {
+    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<duration>(since_boot).count();
+}
+
+} // namespace
+
+time_point runtime_clock::now() noexcept {
+    if (paused.load(std::memory_order_acquire)) {
+        return time_point(duration(frozen.load(std::memory_order_acquire)));
+    }
+    return time_point(duration(steady_reading() + shift.load(std::memory_order_relaxed)));
+}
+
+void runtime_clock::pause() noexcept {
+    frozen.store(now().time_since_epoch().count(), std::memory_order_release);
+    paused.store(true, std::memory_order_release);
+}
+
+void runtime_clock::advance(duration step) noexcept {
+    frozen.fetch_add(step.count(), std::memory_order_acq_rel);
+}
+
+void runtime_clock::resume() noexcept {
+    shift.store(frozen.load() - steady_reading(), std::memory_order_relaxed);
+    paused.store(false, std::memory_order_release);
+}
+
+bool runtime_clock::is_paused() noexcept {
+    return paused.load(std::memory_order_acquire);
+}
+
+milliseconds wall_time() noexcept {
+    const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(since_1970) + milliseconds(wall_offset.load());
+}
+
+void set_wall_offset(milliseconds offset) noexcept {
+    wall_offset.store(offset.count());
+}
+
+} // namespace lavenderhoist
--- /dev/null
+++ b/libs/harness/include/lavenderhoist/harness/process.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "lavenderhoist/core/clock.hpp"
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderhoist::harness {
+
+/** \brief A child process of a test or a measurement; killed with its owner. */
+class process {
+public:
+    /** \brief Starts a program. \param output file that gets its standard output and error. */
+    process(const std::vector<std::string>& command, const std::string& output);
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+    process(process&& other) noexcept;
+    process& operator=(process&& other) noexcept;
+    ~process();
+
+    pid_t id() const noexcept { return id_; }
+
+    /** \brief Sends a signal, if the process still runs. */
+    void send(int signal) const;
+
+    /** \brief Kills the process and waits for its end. */
+    void kill();
+
+    /** \returns the exit code, or -signal; nothing if it still runs after `timeout`. */
+    std::optional<int> wait(duration timeout);
+
+    bool is_running();
+
+private:
+    pid_t id_{-1};
+    std::optional<int> ended_;
+};
+
+/** \brief Processor time and memory of a process. */
+struct process_usage {
+    double processor_seconds{0};
+    double resident_mb{0};
+};
+
+process_usage usage_of(pid_t id);
+
+} // namespace lavenderhoist::harness
--- /dev/null
+++ b/libs/load/src/generator.cpp
@@ -0,0 +1,130 @@
+#include "lavenderhoist/load/generator.hpp"
+
+#include "lavenderhoist/core/key.hpp"
+#include "lavenderhoist/net/spawn.hpp"
+#include "lavenderhoist/net/timer.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace lavenderhoist::load {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t max_connections = 4'000;
+constexpr std::size_t max_body_bytes = 4U << 20U;
+constexpr int first_error = 400;
+
+double factor_at(const stream& what, duration elapsed) {
+    double factor = 1;
+    for (const auto& change : what.changes) {
+        if (elapsed >= change.at) {
+            factor = change.factor;
+        }
+    }
+    return factor;
+}
+
+} // namespace
+
+generator::generator(plan what) : plan_(std::move(what)), random_(plan_.seed) {
+    for (const auto& entry : plan_.entries) {
+        const net::http_client::limits bounds{max_connections, max_body_bytes};
+        entries_.push_back(
+            std::make_unique<net::http_client>(context_.get_executor(), entry, bounds));
+    }
+}
+
+generator::~generator() = default;
+
+void generator::run() {
+    started_ = runtime_clock::now();
+    for (unsigned i = 0; i < plan_.streams.size(); ++i) {
+        net::spawn(context_, send_stream(i));
+    }
+    context_.run();
+}
+
+net::http_client& generator::next_entry() {
+    next_entry_ = (next_entry_ + 1) % entries_.size();
+    return *entries_[next_entry_];
+}
+
+std::string generator::make_key() {
+    return key::make(wall_time(), {random_(), random_()}).to_string();
+}
+
+asio::awaitable<void> generator::send_stream(unsigned index) {
+    const auto& what = plan_.streams[index];
+    net::timer pause(context_);
+    auto due = started_;
+    std::uint64_t number = 0;
+    while (true) {
+        const double rate = what.rate * factor_at(what, due - started_);
+        if (rate <= 0) {
+            due += std::chrono::milliseconds(10);
+        } else {
+            std::exponential_distribution<double> gap(rate);
+            due +=
+                std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_)));
+        }
+        if (due - started_ >= plan_.length) {
+            co_return;
+        }
+        if (due > runtime_clock::now()) {
+            pause.expires_at(due);
+            boost::system::error_code failed;
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        }
+        if (rate > 0) {
+            net::spawn(context_, send_one(index, ++number));
+        }
+    }
+}
+
+asio::awaitable<void> generator::send_one(unsigned index, std::uint64_t number) {
+    const auto& what = plan_.streams[index];
+    const auto began = runtime_clock::now();
+    const auto gives_up = began + what.timeout;
+    const auto nonce = "nonce-" + what.name + "-" + std::to_string(number) + ";";
+    sample result;
+    result.stream = index;
+    result.sent = began - started_;
+    net::request message{what.method, what.path, {}, nonce + what.body};
+    message.fields.push_back({"lh-caller", what.caller});
+    const auto timeout = std::chrono::duration_cast<milliseconds>(what.timeout);
+    message.fields.push_back({"lh-timeout-ms", std::to_string(timeout.count())});
+    if (what.has_key) {
+        result.key = make_key();
+        message.fields.push_back({"idempotency-key", result.key});
+    }
+    for (int i = 0; i <= what.resends && runtime_clock::now() < gives_up; ++i) {
+        ++result.sends;
+        const auto answered = co_await next_entry().exchange(message, gives_up, nullptr);
+        result.end = judge(answered, nonce);
+        if (result.end == ending::good) {
+            break;
+        }
+    }
+    result.latency = runtime_clock::now() - began;
+    samples_.push_back(std::move(result));
+}
+
+ending generator::judge(const net::exchange_result& result, const std::string& nonce) const {
+    if (result.code) {
+        return ending::lost;
+    }
+    const auto claimed = net::find_header(result.answer.fields, "lh-outcome");
+    if (result.answer.status < first_error) {
+        const bool is_own = result.answer.body.find(nonce) != std::string::npos;
+        return is_own ? ending::good : ending::wrong;
+    }
+    const bool did_not_run = claimed == "refused" || claimed == "not-run";
+    return did_not_run ? ending::refused : ending::unknown;
+}
+
+} // namespace lavenderhoist::load
--- /dev/null
+++ b/libs/membership/include/lavenderhoist/membership/gossip_message.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "lavenderhoist/membership/member.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lavenderhoist::membership {
+
+/** \brief Number of parts that the member list is divided into for comparison. */
+inline constexpr std::size_t digest_parts = 16;
+
+using digest = std::array<std::uint64_t, digest_parts>;
+
+/** \brief What two members exchange, in both directions. */
+struct gossip_message {
+    std::string from;
+    std::int64_t wall_ms{0};     ///< Sender's wall clock, to detect clocks out of bound.
+    digest state{};              ///< Of the sender's member list.
+    std::uint64_t records{0};    ///< Digest of the records that the sender holds; opaque here.
+    std::vector<member> members; ///< Recent changes; in answers also the parts that differed.
+};
+
+std::string encode(const gossip_message& message);
+
+/** \returns nothing if the text is not a gossip message. */
+std::optional<gossip_message> decode_gossip(std::string_view text);
+
+} // namespace lavenderhoist::membership
--- /dev/null
+++ b/libs/net/include/lavenderhoist/net.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/** \file \brief Umbrella header: HTTP/1.1 and HTTP/2 ends, timers and cancellation on Asio. */
+
+#include "lavenderhoist/net/cancel_scope.hpp"
+#include "lavenderhoist/net/cancellation.hpp"
+#include "lavenderhoist/net/endpoint.hpp"
+#include "lavenderhoist/net/h2_pool.hpp"
+#include "lavenderhoist/net/h2_server.hpp"
+#include "lavenderhoist/net/http_client.hpp"
+#include "lavenderhoist/net/http_server.hpp"
+#include "lavenderhoist/net/signal.hpp"
+#include "lavenderhoist/net/timer.hpp"
--- /dev/null
+++ b/libs/net/include/lavenderhoist/net/h2_connection.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "lavenderhoist/net/endpoint.hpp"
+#include "lavenderhoist/net/internal/nghttp2_ptr.hpp"
+#include "lavenderhoist/net/message.hpp"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace lavenderhoist::net {
+
+/**
+ * \brief What client and server ends of an HTTP/2 connection share: reading, writing, streams.
+ *
+ * Streams are whole messages; a stream whose message exceeds the body limit is reset.
+ * Not thread-safe; lives on one executor, kept alive by its read loop.
+ */
+class h2_connection : public std::enable_shared_from_this<h2_connection> {
+public:
+    h2_connection(tcp::socket socket, std::size_t max_body_bytes);
+    h2_connection(const h2_connection&) = delete;
+    h2_connection& operator=(const h2_connection&) = delete;
+    virtual ~h2_connection();
+
+    /** \brief Closes the socket; every open stream ends with an error. */
+    void close();
+
+    bool is_open() const noexcept { return open_; }
+
+    /** \brief Streams that have begun and not ended. */
+    std::size_t open_streams() const noexcept { return streams_.size(); }
+
+    /** \brief When something was last received or sent. */
+    time_point last_activity() const noexcept { return last_activity_; }
+
+protected:
+    /** \brief One message in each direction. */
+    struct stream {
+        int status{0};
+        std::string method;
+        std::string path;
+        headers fields;
+        std::string body; ///< Received so far.
+        std::string outgoing_body;
+        std::size_t sent{0};  ///< Bytes of outgoing_body handed to nghttp2.
+        bool complete{false}; ///< The peer has ended its side.
+    };
+
+    nghttp2_session* session() const noexcept { return session_.get(); }
+    stream* find_stream(std::int32_t id);
+    stream& add_stream(std::int32_t id) { return streams_[id]; }
+
+    /** \brief Sets nghttp2's session; called once by the constructors of the ends. */
+    void adopt(internal::nghttp2_session_ptr session);
+
+    /** \brief Reads until the connection ends. Started once by the ends. */
+    static boost::asio::awaitable<void> read_loop(std::shared_ptr<h2_connection> self);
+
+    /** \brief Sends what nghttp2 has to send, unless a send is under way already. */
+    void flush();
+
+    /** \brief The peer has sent a whole message on this stream. */
+    virtual void on_message(std::int32_t id, stream& finished) = 0;
+
+    /** \brief A stream has ended. \param error_code of HTTP/2; 0 if it ended in order. */
+    virtual void on_stream_end(std::int32_t id, stream& ended, std::uint32_t error_code) = 0;
+
+    /** \brief The peer will take no new streams. */
+    virtual void on_goaway(std::int32_t /*last_stream_id*/) {}
+
+    /** \brief The connection is gone; called once, after which no other function is. */
+    virtual void on_closed() = 0;
+
+    friend struct internal::h2_callbacks;
+
+private:
+    static boost::asio::awaitable<void> write_loop(std::shared_ptr<h2_connection> self);
+    void end_all_streams();
+
+    tcp::socket socket_;
+    internal::nghttp2_session_ptr session_;
+    std::unordered_map<std::int32_t, stream> streams_;
+    std::size_t max_body_bytes_;
+    std::string write_buffer_;
+    time_point last_activity_;
+    bool writing_{false};
+    bool open_{true};
+};
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/net/include/lavenderhoist/net/internal/beast_convert.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lavenderhoist/net/message.hpp"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace lavenderhoist::net::internal {
+
+using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
+using beast_response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/** \brief Copies the end-to-end fields of a Beast message, names in lower case. */
+headers fields_of(const boost::beast::http::fields& source);
+
+beast_request to_beast(const request& message, const std::string& host);
+beast_response to_beast(const response& message, bool keep_alive);
+request from_beast(beast_request&& message);
+response from_beast(beast_response&& message);
+
+} // namespace lavenderhoist::net::internal
--- /dev/null
+++ b/libs/net/include/lavenderhoist/net/message.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lavenderhoist/net/headers.hpp"
+
+#include <string>
+
+namespace lavenderhoist::net {
+
+/** \brief A whole request: method, path with query, fields and body. */
+struct request {
+    std::string method;
+    std::string path;
+    headers fields;
+    std::string body;
+};
+
+/** \brief A whole response. */
+struct response {
+    int status{0};
+    headers fields;
+    std::string body;
+};
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/net/src/h2_pool.cpp
@@ -0,0 +1,83 @@
+#include "lavenderhoist/net/h2_pool.hpp"
+
+#include "lavenderhoist/core/error.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::net {
+
+namespace asio = boost::asio;
+
+/** A connection that is being made; others who want it wait for it. */
+struct h2_pool::attempt {
+    std::vector<std::shared_ptr<signal>> waiters;
+};
+
+h2_pool::h2_pool(asio::any_io_executor executor, std::size_t max_body_bytes)
+    : executor_(std::move(executor)), max_body_bytes_(max_body_bytes) {}
+
+asio::awaitable<std::shared_ptr<h2_client>> h2_pool::client_for(tcp::endpoint peer,
+                                                                time_point deadline) {
+    const auto found = clients_.find(peer);
+    if (found != clients_.end()) {
+        if (found->second->is_usable()) {
+            co_return found->second;
+        }
+        clients_.erase(found);
+    }
+    const auto under_way = attempts_.find(peer);
+    if (under_way != attempts_.end()) {
+        const auto turn = std::make_shared<signal>(executor_);
+        under_way->second->waiters.push_back(turn);
+        co_await turn->wait(deadline);
+        const auto made = clients_.find(peer);
+        if (made == clients_.end() || !made->second->is_usable()) {
+            co_return nullptr;
+        }
+        co_return made->second;
+    }
+    const auto mine = std::make_shared<attempt>();
+    attempts_[peer] = mine;
+    auto made = co_await h2_client::connect(executor_, peer, max_body_bytes_, deadline);
+    attempts_.erase(peer);
+    if (made) {
+        clients_[peer] = made;
+    }
+    for (const auto& waiter : mine->waiters) {
+        waiter->set();
+    }
+    co_return made;
+}
+
+asio::awaitable<exchange_result> h2_pool::exchange(tcp::endpoint peer, const request& message,
+                                                   time_point deadline, duration connect_timeout,
+                                                   cancellation_ptr cancelled) {
+    const auto connect_by = std::min(deadline, runtime_clock::now() + connect_timeout);
+    const auto client = co_await client_for(peer, connect_by);
+    if (!client) {
+        exchange_result failed;
+        failed.code = errc::peer_lost;
+        failed.never_processed = true;
+        co_return failed;
+    }
+    co_return co_await client->exchange(message, deadline, std::move(cancelled));
+}
+
+void h2_pool::close_idle(time_point before) {
+    std::vector<std::shared_ptr<h2_client>> closing;
+    for (const auto& [peer, client] : clients_) {
+        const bool idle = client->open_streams() == 0 && client->last_activity() < before;
+        if (idle || !client->is_open()) {
+            closing.push_back(client);
+        }
+    }
+    std::erase_if(clients_, [&closing](const auto& entry) {
+        return std::ranges::find(closing, entry.second) != closing.end();
+    });
+    for (const auto& client : closing) {
+        client->close();
+    }
+}
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,264 @@
+#include "lavenderhoist/net/http_server.hpp"
+
+#include "lavenderhoist/net/deadline_guard.hpp"
+#include "lavenderhoist/net/internal/beast_convert.hpp"
+#include "lavenderhoist/net/spawn.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <set>
+#include <utility>
+
+namespace lavenderhoist::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
+constexpr auto fault_write_timeout = std::chrono::seconds(1);
+
+/** One connection of a caller; idle while it waits for the first byte of a request. */
+struct session {
+    explicit session(tcp::socket accepted) : socket(std::move(accepted)) {}
+
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    bool idle{true};
+};
+
+using session_ptr = std::shared_ptr<session>;
+
+} // namespace
+
+struct http_server::shared_state {
+    shared_state(tcp::acceptor opened, limits given, handler answer, fault_renderer render)
+        : acceptor(std::move(opened)),
+          bounds(given),
+          handle(std::move(answer)),
+          render_fault(std::move(render)) {}
+
+    tcp::acceptor acceptor;
+    limits bounds;
+    handler handle;
+    fault_renderer render_fault;
+    std::set<session_ptr> sessions;
+    std::size_t in_flight{0};
+    bool draining{false};
+
+    static asio::awaitable<void> accept_loop(std::shared_ptr<shared_state> self);
+    static asio::awaitable<void> serve(std::shared_ptr<shared_state> self, session_ptr connection);
+    asio::awaitable<bool> serve_one(session_ptr connection);
+    asio::awaitable<void> send_fault(session_ptr connection, int status, std::string_view reason);
+};
+
+namespace {
+
+int fault_status(const boost::system::error_code& failed, bool timed_out) {
+    if (timed_out) {
+        return status_timeout;
+    }
+    if (failed == http::error::body_limit) {
+        return status_too_large;
+    }
+    if (failed == http::error::header_limit) {
+        return status_header_too_large;
+    }
+    return status_bad_request;
+}
+
+/** Cancels a request when its caller closes the connection before the answer. */
+void watch_for_close(const session_ptr& connection, const cancellation_ptr& cancelled,
+                     const std::shared_ptr<bool>& answered) {
+    connection->socket.async_wait(
+        tcp::socket::wait_read,
+        [connection, cancelled, answered](const boost::system::error_code& failed) {
+            if (failed || *answered) {
+                return;
+            }
+            char byte = 0;
+            boost::system::error_code peeked;
+            connection->socket.non_blocking(true, peeked);
+            const auto count = connection->socket.receive(asio::buffer(&byte, 1),
+                                                          tcp::socket::message_peek, peeked);
+            const bool gone = peeked ? peeked != asio::error::would_block : count == 0;
+            if (gone) {
+                cancelled->cancel();
+            }
+        });
+}
+
+} // namespace
+
+asio::awaitable<void> http_server::shared_state::accept_loop(std::shared_ptr<shared_state> self) {
+    auto& acceptor = self->acceptor;
+    while (!self->draining) {
+        boost::system::error_code failed;
+        tcp::socket accepted(acceptor.get_executor());
+        co_await acceptor.async_accept(accepted, redirect_error(use_awaitable, failed));
+        if (failed == asio::error::operation_aborted || !acceptor.is_open()) {
+            co_return;
+        }
+        if (failed) {
+            // Out of descriptors, most likely: wait, so that the loop does not spin.
+            timer pause(acceptor.get_executor(), runtime_clock::now() + milliseconds(10));
+            co_await pause.async_wait(redirect_error(use_awaitable, failed));
+            continue;
+        }
+        accepted.set_option(tcp::no_delay(true), failed);
+        auto connection = std::make_shared<session>(std::move(accepted));
+        spawn(acceptor.get_executor(), serve(self, std::move(connection)));
+    }
+}
+
+asio::awaitable<void> http_server::shared_state::serve(std::shared_ptr<shared_state> self,
+                                                       session_ptr connection) {
+    if (self->sessions.size() >= self->bounds.max_connections) {
+        co_await self->send_fault(connection, status_unavailable, "too many connections");
+        co_return;
+    }
+    self->sessions.insert(connection);
+    bool more = true;
+    while (more) {
+        more = co_await self->serve_one(connection);
+    }
+    self->sessions.erase(connection);
+    boost::system::error_code ignored;
+    connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    connection->socket.close(ignored);
+}
+
+asio::awaitable<bool> http_server::shared_state::serve_one(session_ptr connection) {
+    boost::system::error_code failed;
+    connection->idle = true;
+    if (connection->buffer.size() == 0) {
+        const deadline_guard guard(connection->socket, runtime_clock::now() + bounds.idle_timeout);
+        co_await connection->socket.async_wait(tcp::socket::wait_read,
+                                               redirect_error(use_awaitable, failed));
+        if (failed) {
+            co_return false;
+        }
+    }
+    connection->idle = false;
+
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
+    parser.body_limit(bounds.max_body_bytes);
+    const auto timed_out = std::make_shared<bool>(false);
+    {
+        // The timer cancels the read but leaves the socket open, so that 408 can be sent.
+        timer alarm(connection->socket.get_executor(),
+                    runtime_clock::now() + bounds.header_timeout);
+        alarm.async_wait([connection, timed_out](const boost::system::error_code& stopped) {
+            if (stopped) {
+                return;
+            }
+            *timed_out = true;
+            boost::system::error_code ignored;
+            connection->socket.cancel(ignored);
+        });
+        co_await http::async_read(connection->socket, connection->buffer, parser,
+                                  redirect_error(use_awaitable, failed));
+    }
+    if (failed == http::error::end_of_stream) {
+        co_return false;
+    }
+    if (failed) {
+        co_await send_fault(connection, fault_status(failed, *timed_out), failed.message());
+        co_return false;
+    }
+
+    const bool wants_more = parser.get().keep_alive();
+    boost::system::error_code peer_failed;
+    const auto remote = connection->socket.remote_endpoint(peer_failed);
+    auto peer = peer_failed ? std::string("?") : remote.address().to_string();
+    auto message = internal::from_beast(parser.release());
+    const auto cancelled = std::make_shared<cancellation>();
+    const auto answered = std::make_shared<bool>(false);
+    watch_for_close(connection, cancelled, answered);
+
+    ++in_flight;
+    auto answer = co_await handle(std::move(message), std::move(peer), cancelled);
+    *answered = true;
+    const bool keep = wants_more && !draining;
+    if (!cancelled->is_cancelled()) {
+        const auto outgoing = internal::to_beast(answer, keep);
+        const deadline_guard guard(connection->socket,
+                                   runtime_clock::now() + bounds.header_timeout);
+        co_await http::async_write(connection->socket, outgoing,
+                                   redirect_error(use_awaitable, failed));
+    }
+    --in_flight;
+    co_return keep && !failed && !cancelled->is_cancelled();
+}
+
+asio::awaitable<void> http_server::shared_state::send_fault(session_ptr connection, int status,
+                                                            std::string_view reason) {
+    boost::system::error_code failed;
+    const auto answer = internal::to_beast(render_fault(status, reason), false);
+    const deadline_guard guard(connection->socket, runtime_clock::now() + fault_write_timeout);
+    co_await http::async_write(connection->socket, answer, redirect_error(use_awaitable, failed));
+    connection->socket.shutdown(tcp::socket::shutdown_send, failed);
+    // Reads what the caller still sends: closing with unread bytes would reset the connection
+    // and could destroy the answer on its way.
+    while (!failed && connection->socket.is_open()) {
+        connection->buffer.clear();
+        const auto space = connection->buffer.prepare(4096);
+        const auto count = co_await connection->socket.async_read_some(
+            space, redirect_error(use_awaitable, failed));
+        if (count == 0) {
+            break;
+        }
+    }
+}
+
+http_server::http_server(tcp::acceptor acceptor, limits bounds, handler handle,
+                         fault_renderer render_fault)
+    : state_(std::make_shared<shared_state>(std::move(acceptor), bounds, std::move(handle),
+                                            std::move(render_fault))) {}
+
+http_server::~http_server() {
+    drain();
+    close_idle();
+}
+
+void http_server::start() {
+    spawn(state_->acceptor.get_executor(), shared_state::accept_loop(state_));
+}
+
+void http_server::drain() {
+    state_->draining = true;
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+void http_server::close_idle() {
+    boost::system::error_code ignored;
+    for (const auto& connection : state_->sessions) {
+        if (connection->idle) {
+            connection->socket.close(ignored);
+        }
+    }
+}
+
+std::size_t http_server::requests_in_flight() const noexcept {
+    return state_->in_flight;
+}
+
+std::size_t http_server::open_connections() const noexcept {
+    return state_->sessions.size();
+}
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+/** \file \brief Umbrella header: the node, and what programs that talk to it share. */
+
+#include "lavenderhoist/node/call_codec.hpp"
+#include "lavenderhoist/node/logging.hpp"
+#include "lavenderhoist/node/node.hpp"
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/log_keeper.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "lavenderhoist/node/gossip_service.hpp"
+#include "lavenderhoist/node/log_client.hpp"
+#include "lavenderhoist/node/log_follower.hpp"
+#include "lavenderhoist/node/record_publisher.hpp"
+#include "lavenderhoist/node/record_relay.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <vector>
+
+namespace lavenderhoist::node {
+
+/**
+ * \brief Keeps on the log what must not expire: current records, and a few contacts to join
+ * through. Lives on the control thread.
+ */
+class log_keeper {
+public:
+    log_keeper(boost::asio::any_io_executor executor, gossip_service& gossip, log_client& log,
+               log_follower& follower, record_relay& relay, record_publisher& publisher,
+               records::record_store& store);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    bool is_first_of_all();
+    std::vector<records::topic> ageing_topics() const;
+    bool should_register() const;
+    boost::asio::awaitable<void> renew(records::topic about);
+    boost::asio::awaitable<void> register_contact();
+
+    boost::asio::any_io_executor executor_;
+    gossip_service& gossip_;
+    log_client& log_;
+    log_follower& follower_;
+    record_relay& relay_;
+    record_publisher& publisher_;
+    records::record_store& store_;
+};
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/node.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "lavenderhoist/node/control_worker.hpp"
+#include "lavenderhoist/node/entry_worker.hpp"
+#include "lavenderhoist/node/node_state.hpp"
+#include "lavenderhoist/node/target_worker.hpp"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace lavenderhoist::node {
+
+/** \brief A whole node: its threads, from start to the end of a drain. */
+class node {
+public:
+    explicit node(config::node_settings settings);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    ~node();
+
+    void start();
+
+    /** \brief Asks for a drain; safe from any thread. */
+    void request_drain();
+
+    /** \brief Waits for a request to drain, drains and stops. */
+    void run_until_drained();
+
+private:
+    void drain();
+    void wait_until_idle(time_point deadline);
+    bool is_idle();
+
+    node_state state_;
+    orders::owner self_;
+    std::vector<std::unique_ptr<entry_worker>> entries_;
+    std::unique_ptr<target_worker> target_;
+    std::unique_ptr<control_worker> control_;
+    std::mutex mutex_;
+    std::condition_variable drain_wanted_;
+    bool drain_requested_{false};
+};
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/order_keeper.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "lavenderhoist/net/signal.hpp"
+#include "lavenderhoist/node/call.hpp"
+#include "lavenderhoist/node/lease_grant.hpp"
+#include "lavenderhoist/orders/key_table.hpp"
+#include "lavenderhoist/orders/ownership.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lavenderhoist::node {
+
+/** \brief The order may be handed to the target until the lease ends. */
+struct order_may_start {
+    time_point lease_until;
+};
+
+/** \brief The answer to an order that does not start now. */
+struct order_answered {
+    call_answer answer;
+};
+
+/** \brief The same order is running already: wait for its end. */
+struct order_joined {};
+
+using order_verdict = std::variant<order_may_start, order_answered, order_joined>;
+
+/** \brief The finished keys that one owner passes to another, with what it knows of older ones. */
+struct hand_over {
+    std::string service;
+    std::int64_t epoch{0};
+    orders::owner from;
+    milliseconds horizon{0};
+    std::vector<orders::key_table::exported> keys;
+};
+
+/**
+ * \brief The owner's side of orders on the target's thread: ownership, lease, table of keys, joins.
+ *
+ * Not thread-safe.
+ */
+class order_keeper {
+public:
+    order_keeper(boost::asio::any_io_executor executor, orders::owner self,
+                 orders::ownership::bounds limits, std::string node_id);
+
+    void on_assignment(const orders::assignment& next);
+    void on_lease(const lease_grant& grant) noexcept { lease_ = grant; }
+
+    /** \brief Decides on an order. If it may start, it is entered as running. */
+    order_verdict begin(const call& order);
+
+    /** \brief True if an order that was begun earlier may still start: same owner, lease in force.
+     */
+    bool may_still_start(const key& order) const;
+
+    /** \brief True while orders may start. */
+    bool has_lease() const;
+
+    /** \brief The order certainly did not run. Those who joined get `answer` too. */
+    void withdraw(const key& order, const call_answer& answer);
+
+    /** \brief The order ended, with an answer or with an unknown outcome. */
+    void end(const key& order, const call_answer& answer);
+
+    /** \brief Waits for the end of a running order. */
+    boost::asio::awaitable<call_answer> join(call order);
+
+    /** \brief Drops old keys. */
+    void on_tick();
+
+    /**
+     * \brief What is to be handed over to the new owners of the newest epoch.
+     * \returns nothing while moved orders still run, or their earlier owners are waited for.
+     */
+    std::optional<std::map<std::string, hand_over>>
+    make_hand_overs(const std::string& service) const;
+
+    void accept_hand_over(hand_over given);
+
+    std::size_t running() const noexcept { return table_.running(); }
+    std::size_t kept() const noexcept { return table_.size(); }
+    std::int64_t epoch() const noexcept;
+
+private:
+    /** Those who wait for the end of one order. */
+    struct waiting {
+        std::vector<std::shared_ptr<net::signal>> signals;
+        std::optional<call_answer> answer;
+    };
+
+    order_verdict look_up(const call& order, bool may_enter);
+    call_answer refuse(const call& order, errc cause, duration wait) const;
+    void wake(const key& order, const call_answer& answer);
+
+    boost::asio::any_io_executor executor_;
+    std::string node_id_;
+    orders::ownership ownership_;
+    orders::key_table table_;
+    lease_grant lease_;
+    std::map<key, std::shared_ptr<waiting>> joined_;
+};
+
+/** \brief Hash of what makes a request the same request. */
+orders::order_identity identity_of(const call& order);
+
+std::string encode(const hand_over& value);
+std::optional<hand_over> decode_hand_over(std::string_view text);
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/refusal_log.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "lavenderhoist/node/call.hpp"
+
+#include <boost/json/fwd.hpp>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lavenderhoist::node {
+
+/** \brief Why a caller's request was not completed; what `lhctl explain` shows. */
+struct refusal {
+    std::string request_id;
+    std::string caller;
+    std::string service;
+    std::string class_name;
+    error failure;
+    outcome result{outcome::unknown};
+    int importance{0};
+    int level{0};
+};
+
+/** \brief The latest refusals of one entry thread, bounded. */
+class refusal_log {
+public:
+    static constexpr std::size_t max_entries = 1'024;
+
+    void add(refusal entry);
+
+    /** \returns the refusal of that request, if it is still kept. */
+    std::optional<refusal> find(std::string_view request_id) const;
+
+private:
+    std::deque<refusal> entries_;
+};
+
+boost::json::object to_json(const refusal& entry);
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/routing_view.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "lavenderhoist/config/deployment.hpp"
+#include "lavenderhoist/net/endpoint.hpp"
+#include "lavenderhoist/orders/assignment.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lavenderhoist::node {
+
+/** \brief A target as the request path sees it. */
+struct view_target {
+    std::string id;
+    std::uint64_t id_hash{0};
+    std::uint64_t process{0};
+    net::tcp::endpoint calls; ///< Where its node takes request streams.
+    bool is_local{false};     ///< In the data centre of this node.
+    bool takes_work{false};   ///< Lives and does not drain.
+};
+
+/** \brief Everything the request path knows of the rest of the deployment; immutable. */
+struct routing_view {
+    std::uint64_t generation{0}; ///< Differs between any two views of a process.
+    std::int64_t config_version{0};
+    std::shared_ptr<const config::deployment> config; ///< Null until one has been read.
+    std::map<std::string, std::vector<view_target>, std::less<>> targets; ///< By service.
+    std::map<std::string, orders::assignment, std::less<>> assignments;   ///< By service.
+};
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/include/lavenderhoist/node/target_worker.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "lavenderhoist/metrics/recorder.hpp"
+#include "lavenderhoist/net/h2_server.hpp"
+#include "lavenderhoist/net/http_client.hpp"
+#include "lavenderhoist/net/http_server.hpp"
+#include "lavenderhoist/node/admission_gate.hpp"
+#include "lavenderhoist/node/announcement.hpp"
+#include "lavenderhoist/node/caller_front.hpp"
+#include "lavenderhoist/node/dispatcher.hpp"
+#include "lavenderhoist/node/node_state.hpp"
+#include "lavenderhoist/node/order_keeper.hpp"
+#include "lavenderhoist/node/parent_call.hpp"
+#include "lavenderhoist/node/poison_watch.hpp"
+#include "lavenderhoist/node/worker.hpp"
+#include "lavenderhoist/routing/level_memory.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace lavenderhoist::node {
+
+/** \brief What an operator sees of a target's thread. */
+struct target_status {
+    std::optional<announcement> target;
+    int limit{0};
+    int slots{0};
+    int in_flight{0};
+    int waiting{0};
+    int level{0};
+    std::size_t orders_running{0};
+    std::size_t orders_kept{0};
+    std::int64_t epoch{0};
+    bool is_leased{false};
+    std::size_t calls_in_flight{0};
+    std::size_t egress_in_flight{0};
+    std::size_t target_connections{0};
+};
+
+/**
+ * \brief The thread beside the target: takes calls of other nodes, decides on admission, runs them
+ * on the target, owns orders, and is the entry for the target's own calls.
+ */
+class target_worker {
+public:
+    /** \brief Called on the target's thread whenever the target's announcement changes. */
+    using announcement_handler = std::function<void(std::optional<announcement>)>;
+
+    target_worker(node_state& state, orders::owner self);
+    target_worker(const target_worker&) = delete;
+    target_worker& operator=(const target_worker&) = delete;
+    ~target_worker();
+
+    /** Precondition: not started yet. */
+    void on_announcement_change(announcement_handler handler) { announce_ = std::move(handler); }
+
+    void start();
+    void stop();
+
+    /** \brief Other nodes know by now that this one leaves: sends GOAWAY and refuses new calls. */
+    void drain();
+
+    // The following may be called from any thread; they take effect in order.
+    void post_assignment(const orders::assignment& next);
+    void post_lease(const lease_grant& grant);
+    void post_hand_over(hand_over given);
+    void post_quarantine(std::vector<std::uint64_t> suspects,
+                         std::vector<std::uint64_t> quarantined);
+
+    /** \brief What is to be handed over now; see order_keeper::make_hand_overs(). */
+    std::optional<std::map<std::string, hand_over>> make_hand_overs(const std::string& service);
+
+    target_status status();
+    metrics::recorder collect();
+
+    /** \brief Called on the target's thread with suspects and quarantined requests it has found. */
+    using poison_handler = std::function<void(std::vector<std::uint64_t> suspects,
+                                              std::vector<std::uint64_t> quarantined)>;
+    void on_poison(poison_handler handler) { report_poison_ = std::move(handler); }
+
+private:
+    boost::asio::awaitable<net::response> serve_call(net::request message,
+                                                     net::cancellation_ptr cancelled);
+    boost::asio::awaitable<call_answer> serve_order(call request, net::cancellation_ptr cancelled);
+    boost::asio::awaitable<call_answer> run(call request, std::optional<time_point> start_by,
+                                            net::cancellation_ptr cancelled);
+    boost::asio::awaitable<call_answer> forward(call request, std::optional<time_point> start_by,
+                                                net::cancellation_ptr cancelled);
+    net::request make_target_request(const call& request, const std::string& context,
+                                     std::optional<time_point> start_by) const;
+    std::optional<call_answer> refuse_early(const call& request);
+    call_answer interpret(const call& request, net::exchange_result result);
+    int level_for(const call& request);
+
+    boost::asio::awaitable<net::response> serve_egress(net::request message,
+                                                       net::cancellation_ptr cancelled);
+    boost::asio::awaitable<call_answer> call_callee(std::shared_ptr<parent_call> parent,
+                                                    call request, net::cancellation_ptr cancelled);
+    checked_request make_child(const parent_call& parent, net::request message);
+    std::shared_ptr<parent_call> find_parent(const net::request& message, time_point now);
+    net::response accept_announcement(const net::request& message);
+    void apply_configuration();
+    void withdraw_target();
+    void forget_target_state();
+    admission_gate& callee_gate(const std::string& callee);
+    bool is_leaving() const;
+    boost::asio::awaitable<void> check_target_death();
+    boost::asio::awaitable<void> tick_loop();
+
+    node_state& state_;
+    worker worker_;
+    metrics::recorder counters_;
+    caller_front front_;
+    dispatcher dispatcher_;
+    order_keeper orders_;
+    poison_watch poison_;
+    parent_registry parents_;
+    std::map<std::string, std::unique_ptr<admission_gate>> callee_gates_; // by callee
+    // By the route of the parent, then by callee.
+    std::unordered_map<std::uint64_t, std::map<std::string, routing::level_memory>>
+        downstream_levels_;
+    std::map<std::string, std::uint64_t> running_digests_; // by context
+    std::vector<std::uint64_t>
+        lost_digests_; // of requests whose connection broke since the last tick
+    std::shared_ptr<admission_gate> gate_;
+    std::unique_ptr<net::http_client> target_;
+    std::unique_ptr<net::h2_server> calls_;
+    std::unique_ptr<net::http_server> egress_;
+    std::optional<announcement> announced_;
+    time_point last_announcement_{};
+    std::uint64_t seen_generation_{0};
+    time_point drain_announced_{};
+    int callee_slots_{0};
+    int slots_{0};
+    bool draining_{false};
+    bool target_is_down_{false};
+    announcement_handler announce_;
+    poison_handler report_poison_;
+};
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/src/gossip_service.cpp
@@ -0,0 +1,165 @@
+#include "lavenderhoist/node/gossip_service.hpp"
+
+#include "lavenderhoist/net/spawn.hpp"
+#include "lavenderhoist/net/timer.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration round_interval = std::chrono::milliseconds(500);
+constexpr duration probe_timeout = std::chrono::milliseconds(400);
+constexpr duration indirect_timeout = std::chrono::milliseconds(900);
+constexpr std::size_t indirect_probes = 2;
+constexpr std::size_t spread_fanout = 4;
+constexpr std::size_t joins_per_round = 3;
+
+/** Every so many rounds a contact is tried although members are known: sides that took each other
+ * for dead during a cut find each other again. */
+constexpr std::uint64_t rejoin_rounds = 10;
+constexpr membership::member_list::timing times{std::chrono::seconds(2), std::chrono::seconds(30)};
+constexpr duration idle_connection_lifetime = std::chrono::seconds(10);
+
+} // namespace
+
+gossip_service::gossip_service(asio::any_io_executor executor, peer_client& peers,
+                               membership::member self, hooks callbacks, std::uint64_t seed)
+    : executor_(std::move(executor)),
+      peers_(peers),
+      hooks_(std::move(callbacks)),
+      members_(std::move(self), times, seed),
+      random_(seed) {}
+
+asio::awaitable<void> gossip_service::run() {
+    net::timer pause(executor_);
+    while (true) {
+        co_await run_once();
+        pause.expires_after(round_interval);
+        boost::system::error_code failed;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+    }
+}
+
+asio::awaitable<void> gossip_service::run_once() {
+    if (members_.on_tick(runtime_clock::now())) {
+        hooks_.members_changed();
+    }
+    peers_.close_idle(idle_connection_lifetime);
+    const auto id = members_.next_probe();
+    const auto* const target = members_.find(id);
+    if (target == nullptr) {
+        co_await join();
+        co_return;
+    }
+    if (++rounds_ % rejoin_rounds == 0) {
+        net::spawn(executor_, join());
+    }
+    // Probes run beside the rounds, so that a silent member does not delay the next one.
+    net::spawn(executor_, probe(*target));
+}
+
+asio::awaitable<void> gossip_service::join() {
+    auto contacts = hooks_.contacts();
+    std::ranges::shuffle(contacts, random_);
+    std::size_t asked = 0;
+    for (const auto& address : contacts) {
+        if (address == members_.self().control) {
+            continue;
+        }
+        if (++asked > joins_per_round) {
+            break;
+        }
+        if (co_await exchange(address)) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> gossip_service::exchange(std::string address) {
+    const auto message = members_.make_message(wall_time().count());
+    const auto answered =
+        co_await peers_.ask(address, "/gossip", membership::encode(message), probe_timeout);
+    if (!answered) {
+        co_return false;
+    }
+    const auto heard = membership::decode_gossip(*answered);
+    if (!heard) {
+        co_return false;
+    }
+    absorb(*heard);
+    const auto round_trip = wall_time().count() - message.wall_ms;
+    const auto difference = heard->wall_ms - message.wall_ms - round_trip / 2;
+    const auto unexplained = std::max<std::int64_t>(0, std::abs(difference) - round_trip / 2);
+    hooks_.clock_compared(heard->from, milliseconds(unexplained));
+    if (heard->records != hooks_.records_digest()) {
+        hooks_.records_differ(std::move(address));
+    }
+    members_.on_probe_answered(heard->from);
+    co_return true;
+}
+
+asio::awaitable<void> gossip_service::probe(membership::member target) {
+    if (co_await exchange(target.control)) {
+        co_return;
+    }
+    const auto helpers = members_.random_members(indirect_probes, target.id);
+    for (const auto& helper : helpers) {
+        const auto answered =
+            co_await peers_.ask(helper.control, "/probe", target.id, indirect_timeout);
+        if (answered && *answered == "1") {
+            co_return;
+        }
+    }
+    const auto* const known = members_.find(target.id);
+    const bool is_same = known != nullptr && known->process == target.process;
+    if (!is_same) {
+        co_return;
+    }
+    members_.on_probe_failed(target.id, runtime_clock::now());
+    hooks_.members_changed();
+}
+
+asio::awaitable<bool> gossip_service::probe_for(std::string id) {
+    const auto* const target = members_.find(id);
+    if (target == nullptr) {
+        co_return false;
+    }
+    const std::string address = target->control;
+    co_return co_await exchange(address);
+}
+
+void gossip_service::absorb(const membership::gossip_message& heard) {
+    if (members_.merge(heard.members, runtime_clock::now())) {
+        hooks_.members_changed();
+    }
+}
+
+std::string gossip_service::answer(std::string_view body) {
+    const auto heard = membership::decode_gossip(body);
+    if (!heard) {
+        return {};
+    }
+    absorb(*heard);
+    auto message = members_.make_message(wall_time().count());
+    message.records = hooks_.records_digest();
+    members_.add_differences(heard->state, message);
+    return membership::encode(message);
+}
+
+void gossip_service::spread() {
+    for (const auto& target : members_.random_members(spread_fanout, {})) {
+        net::spawn(executor_, [this, address = target.control]() -> asio::awaitable<void> {
+            co_await exchange(address);
+        });
+    }
+}
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/node/src/log_follower.cpp
@@ -0,0 +1,140 @@
+#include "lavenderhoist/node/log_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t max_history = 512;
+constexpr duration read_timeout = std::chrono::milliseconds(800);
+
+} // namespace
+
+log_follower::log_follower(asio::any_io_executor executor, log_client& log,
+                           records::record_store& store)
+    : executor_(std::move(executor)), log_(log), store_(store) {}
+
+asio::awaitable<bool> log_follower::read_to_tail(duration timeout) {
+    if (!next_round_) {
+        next_round_ = std::make_shared<round>();
+    }
+    const auto mine = next_round_;
+    if (reading_) {
+        // The read under way began before this question; the next one will serve it.
+        const auto turn = std::make_shared<net::signal>(executor_);
+        mine->waiters.push_back(turn);
+        const bool was_served = co_await turn->wait(runtime_clock::now() + timeout);
+        if (was_served) {
+            co_return mine->succeeded;
+        }
+        co_return false;
+    }
+    reading_ = true;
+    bool succeeded = false;
+    while (next_round_) {
+        const auto current = std::exchange(next_round_, nullptr);
+        current->succeeded = co_await run_round();
+        if (current == mine) {
+            succeeded = current->succeeded;
+        }
+        for (const auto& waiter : current->waiters) {
+            waiter->set();
+        }
+    }
+    reading_ = false;
+    co_return succeeded;
+}
+
+asio::awaitable<bool> log_follower::run_round() {
+    while (true) {
+        const auto from = next_offset_;
+        const auto batch = co_await log_.read(from, read_timeout);
+        available_ = batch.has_value();
+        if (!batch) {
+            co_return false;
+        }
+        retention_ = batch->retention;
+        if (batch->first > from) {
+            store_.mark_gap();
+        }
+        apply(*batch);
+        if (next_offset_ >= batch->tail || batch->items.empty()) {
+            next_offset_ = std::max(next_offset_, batch->tail);
+            store_.mark_caught_up();
+            co_return true;
+        }
+    }
+}
+
+void log_follower::apply(const log_batch& batch) {
+    for (const auto& item : batch.items) {
+        if (item.offset < next_offset_) {
+            continue;
+        }
+        apply_item(item);
+        next_offset_ = item.offset + 1;
+    }
+}
+
+void log_follower::apply_item(const log_batch::item& item) {
+    auto decoded = records::decode(item.payload);
+    if (!decoded) {
+        return;
+    }
+    const auto written = runtime_clock::now() - item.age;
+    if (decoded->about.what == records::kind::contact) {
+        contacts_[decoded->about.subject] = {item.offset, decoded->body};
+        contact_written_[decoded->about.subject] = written;
+        return;
+    }
+    const records::located_record located{item.offset, std::move(*decoded)};
+    const auto judged = store_.apply(located);
+    history_.push_back({located, judged});
+    written_[item.offset] = written;
+    if (history_.size() > max_history) {
+        history_.pop_front();
+    }
+    if (written_.size() > max_history) {
+        written_.erase(written_.begin());
+    }
+    if (judged == records::verdict::accepted && changed_) {
+        changed_(located);
+    }
+}
+
+std::vector<std::string> log_follower::contacts() const {
+    std::vector<std::pair<std::int64_t, std::string>> ordered;
+    for (const auto& [id, contact] : contacts_) {
+        ordered.push_back(contact);
+    }
+    std::ranges::sort(ordered, std::greater<>());
+    std::vector<std::string> result;
+    for (auto& [offset, address] : ordered) {
+        result.push_back(std::move(address));
+    }
+    return result;
+}
+
+std::vector<history_entry> log_follower::history(records::kind what) const {
+    std::vector<history_entry> result;
+    for (const auto& entry : history_) {
+        if (entry.record.content.about.what == what) {
+            result.push_back(entry);
+        }
+    }
+    return result;
+}
+
+std::optional<time_point> log_follower::written_at(std::int64_t offset) const {
+    const auto found = written_.find(offset);
+    if (found == written_.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace lavenderhoist::node
--- /dev/null
+++ b/libs/orders/include/lavenderhoist/orders/ownership.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "lavenderhoist/core/key.hpp"
+#include "lavenderhoist/orders/assignment.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <variant>
+
+namespace lavenderhoist::orders {
+
+/** \brief The node may run the key's order, while its lease holds. */
+struct may_run {
+    std::int64_t epoch;
+};
+
+/** \brief Another node owns the key. */
+struct owned_elsewhere {
+    std::string id;
+};
+
+/** \brief The key has moved here; the earlier owner may still run it until then. */
+struct not_yet {
+    time_point until;
+};
+
+/** \brief The key is older than what this owner knows: the order may have run. */
+struct before_horizon {
+    milliseconds horizon;
+};
+
+/** \brief The key is from the future: a clock is out of its bound. */
+struct issued_in_future {};
+
+using ownership_verdict =
+    std::variant<may_run, owned_elsewhere, not_yet, before_horizon, issued_in_future>;
+
+/**
+ * \brief Judges whether this node may run the order of a key, from the epochs it has learnt of.
+ *
+ * A pure state machine of one service on one node. For a key that was this process's since an epoch
+ * j without a break, the node knows all runs of the key if the key was issued after the node began
+ * to run orders of j (its horizon), or if the owner before j handed its table over.
+ */
+class ownership {
+public:
+    /** \brief Bounds on clocks and memory. */
+    struct bounds {
+        milliseconds clock;     ///< Largest difference of two hosts' wall clocks.
+        milliseconds retention; ///< How long finished keys are kept.
+    };
+
+    ownership(owner self, bounds limits);
+
+    /**
+     * \brief Learns of an epoch. Epochs come in ascending order; some may be missing.
+     * \param now when its record was read; \param wall_now the wall time of that moment.
+     */
+    void on_assignment(const assignment& next, time_point now, milliseconds wall_now);
+
+    /**
+     * \brief The owner of the keys before `epoch` has stopped and has handed its table over.
+     * The epoch may not have been learnt yet; it is remembered until it is.
+     * \param horizon the sender's own: keys issued before it may have run elsewhere.
+     */
+    void on_hand_over(std::int64_t epoch, const owner& from, milliseconds horizon);
+
+    /** \brief The table has dropped keys issued at or before `issued`. */
+    void raise_horizon(milliseconds issued) noexcept;
+
+    ownership_verdict judge(const key& order, time_point now, milliseconds wall_now) const;
+
+    /** \brief The newest epoch, or null. */
+    const assignment* current() const noexcept;
+
+    /** \brief The epoch before the newest one that this node knows, or null. */
+    const assignment* previous() const noexcept;
+
+    /**
+     * \brief The horizon that holds for every key of this owner in the epoch before the newest.
+     * \returns nothing while some of these keys were still waiting for their earlier owner.
+     */
+    std::optional<milliseconds> horizon_to_hand_over(time_point now) const;
+
+    const owner& self() const noexcept { return self_; }
+
+private:
+    struct epoch_state {
+        assignment value;
+        time_point quiet_at;        ///< When earlier owners without hand-over have stopped.
+        milliseconds quiet_wall{0}; ///< The same moment on the wall clock.
+        std::map<owner, milliseconds> handed_over; ///< Earlier owner and its horizon.
+        bool is_gap{false};                        ///< The epoch before it is not known.
+    };
+
+    /** \brief When the keys that `state` took from `before` may run, and their horizon. */
+    struct start {
+        time_point at;
+        milliseconds horizon;
+    };
+
+    bool is_first_ever(const epoch_state& state) const noexcept { return state.value.epoch == 1; }
+    start start_of(const epoch_state& state, const owner* before) const;
+    std::optional<start> start_for(std::uint64_t key_hash) const;
+
+    owner self_;
+    bounds limits_;
+    std::deque<epoch_state> epochs_; // ascending
+    std::map<std::int64_t, std::map<owner, milliseconds>>
+        early_hand_overs_; // of epochs not learnt yet
+    milliseconds table_horizon_{0};
+};
+
+} // namespace lavenderhoist::orders
--- /dev/null
+++ b/libs/orders/src/ownership.cpp
@@ -0,0 +1,147 @@
+#include "lavenderhoist/orders/ownership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::orders {
+namespace {
+
+constexpr std::size_t max_epochs = 32;
+
+} // namespace
+
+ownership::ownership(owner self, bounds limits) : self_(std::move(self)), limits_(limits) {}
+
+void ownership::on_assignment(const assignment& next, time_point now, milliseconds wall_now) {
+    if (!epochs_.empty() && next.epoch <= epochs_.back().value.epoch) {
+        return;
+    }
+    epoch_state state;
+    state.value = next;
+    state.quiet_at = now + next.wait;
+    state.quiet_wall = wall_now + next.wait;
+    state.is_gap = epochs_.empty() || epochs_.back().value.epoch + 1 != next.epoch;
+    const auto early = early_hand_overs_.find(next.epoch);
+    if (early != early_hand_overs_.end()) {
+        state.handed_over = early->second;
+    }
+    early_hand_overs_.erase(early_hand_overs_.begin(), early_hand_overs_.upper_bound(next.epoch));
+    epochs_.push_back(std::move(state));
+    if (epochs_.size() > max_epochs) {
+        epochs_.pop_front();
+        epochs_.front().is_gap = true;
+    }
+}
+
+void ownership::on_hand_over(std::int64_t epoch, const owner& from, milliseconds horizon) {
+    if (epochs_.empty() || epoch > epochs_.back().value.epoch) {
+        early_hand_overs_[epoch][from] = horizon;
+        return;
+    }
+    for (auto& state : epochs_) {
+        if (state.value.epoch == epoch) {
+            state.handed_over[from] = horizon;
+        }
+    }
+}
+
+void ownership::raise_horizon(milliseconds issued) noexcept {
+    table_horizon_ = std::max(table_horizon_, issued);
+}
+
+ownership::start ownership::start_of(const epoch_state& state, const owner* before) const {
+    if (is_first_ever(state)) {
+        return {time_point{}, milliseconds(0)};
+    }
+    if (before != nullptr) {
+        const auto handed = state.handed_over.find(*before);
+        if (handed != state.handed_over.end()) {
+            return {time_point{}, handed->second};
+        }
+    }
+    return {state.quiet_at, state.quiet_wall};
+}
+
+std::optional<ownership::start> ownership::start_for(std::uint64_t key_hash) const {
+    const epoch_state* taken = nullptr; // the epoch since which the key is ours without a break
+    const owner* before = nullptr;      // its owner in the epoch before that
+    for (std::size_t i = epochs_.size(); i > 0; --i) {
+        const auto& state = epochs_[i - 1];
+        const auto* const holder = state.value.owner_of(key_hash);
+        if (holder == nullptr || *holder != self_) {
+            before = holder;
+            break;
+        }
+        taken = &state;
+        if (state.is_gap) {
+            before = nullptr;
+            break;
+        }
+    }
+    if (taken == nullptr) {
+        return std::nullopt;
+    }
+    return start_of(*taken, before);
+}
+
+ownership_verdict ownership::judge(const key& order, time_point now, milliseconds wall_now) const {
+    const auto hash = order.hash();
+    const auto begin = start_for(hash);
+    if (!begin) {
+        const auto* const holder = epochs_.empty() ? nullptr : epochs_.back().value.owner_of(hash);
+        return owned_elsewhere{holder == nullptr ? std::string() : holder->id};
+    }
+    if (now < begin->at) {
+        return not_yet{begin->at};
+    }
+    // Two clocks may each be off by the bound, in opposite directions.
+    const auto margin = limits_.clock * 2;
+    if (order.issued_at() > wall_now + margin) {
+        return issued_in_future{};
+    }
+    auto horizon = begin->horizon.count() == 0 ? milliseconds(0) : begin->horizon + margin;
+    horizon = std::max(horizon, table_horizon_);
+    horizon = std::max(horizon, wall_now - limits_.retention + margin);
+    if (order.issued_at() <= horizon) {
+        return before_horizon{horizon};
+    }
+    return may_run{epochs_.back().value.epoch};
+}
+
+const assignment* ownership::current() const noexcept {
+    return epochs_.empty() ? nullptr : &epochs_.back().value;
+}
+
+const assignment* ownership::previous() const noexcept {
+    if (epochs_.size() < 2 || epochs_.back().is_gap) {
+        return nullptr;
+    }
+    return &epochs_[epochs_.size() - 2].value;
+}
+
+std::optional<milliseconds> ownership::horizon_to_hand_over(time_point now) const {
+    milliseconds horizon = table_horizon_;
+    for (std::size_t i = 0; i + 1 < epochs_.size(); ++i) {
+        const auto& state = epochs_[i];
+        if (is_first_ever(state)) {
+            continue;
+        }
+        const bool all_handed_over =
+            !state.is_gap && i > 0 &&
+            std::ranges::all_of(epochs_[i - 1].value.members, [&](const owner& o) {
+                return o == self_ || state.handed_over.contains(o);
+            });
+        if (!all_handed_over && now < state.quiet_at) {
+            return std::nullopt;
+        }
+        for (const auto& [from, theirs] : state.handed_over) {
+            horizon = std::max(horizon, theirs);
+        }
+        if (!all_handed_over) {
+            horizon = std::max(horizon, state.quiet_wall);
+        }
+    }
+    return horizon;
+}
+
+} // namespace lavenderhoist::orders
--- /dev/null
+++ b/libs/records/src/record_store.cpp
@@ -0,0 +1,89 @@
+#include "lavenderhoist/records/record_store.hpp"
+
+#include "lavenderhoist/core/hash.hpp"
+
+namespace lavenderhoist::records {
+
+bool record_store::is_successor(const located_record& next,
+                                const located_record& before) const noexcept {
+    if (!caught_up_) {
+        return next.content.version > before.content.version;
+    }
+    return next.content.version == before.content.version + 1 &&
+           next.content.replaces == before.offset;
+}
+
+verdict record_store::apply(const located_record& read) {
+    const auto& about = read.content.about;
+    const auto found = current_.find(about);
+    if (found == current_.end()) {
+        const bool is_first = read.content.version == 1 && read.content.replaces == -1;
+        if (caught_up_ && !is_first) {
+            return verdict::lost;
+        }
+        current_.emplace(about, read);
+        return verdict::accepted;
+    }
+    auto& standing = found->second;
+    if (read.offset == standing.offset) {
+        return verdict::repeated;
+    }
+    if (!is_successor(read, standing)) {
+        return verdict::lost;
+    }
+    standing = read;
+    return verdict::accepted;
+}
+
+verdict record_store::adopt(const located_record& current) {
+    const auto found = current_.find(current.content.about);
+    if (found == current_.end()) {
+        current_.emplace(current.content.about, current);
+        return verdict::accepted;
+    }
+    auto& standing = found->second;
+    if (current.offset == standing.offset) {
+        return verdict::repeated;
+    }
+    if (current.content.version <= standing.content.version) {
+        return verdict::lost;
+    }
+    standing = current;
+    return verdict::accepted;
+}
+
+const located_record* record_store::current(const topic& about) const noexcept {
+    const auto found = current_.find(about);
+    return found == current_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t record_store::digest() const noexcept {
+    std::uint64_t result = 0;
+    for (const auto& [about, standing] : current_) {
+        const auto topic_hash = stable_hash(about.subject) ^ static_cast<std::uint64_t>(about.what);
+        result ^= mix(topic_hash ^ mix(static_cast<std::uint64_t>(standing.content.version)));
+    }
+    return result;
+}
+
+std::vector<located_record> record_store::all() const {
+    std::vector<located_record> result;
+    for (const auto& [about, standing] : current_) {
+        result.push_back(standing);
+    }
+    return result;
+}
+
+record record_store::successor(const topic& about) const {
+    record next;
+    next.about = about;
+    next.version = 1;
+    const auto* const standing = current(about);
+    if (standing != nullptr) {
+        next.version = standing->content.version + 1;
+        next.replaces = standing->offset;
+    }
+    return next;
+}
+
+} // namespace lavenderhoist::records
--- /dev/null
+++ b/libs/retry/src/credit_account.cpp
@@ -0,0 +1,27 @@
+#include "lavenderhoist/retry/credit_account.hpp"
+
+#include <algorithm>
+
+namespace lavenderhoist::retry {
+
+credit_account::credit_account(int granted) noexcept : balance_(std::max(0, granted)) {}
+
+bool credit_account::spend() noexcept {
+    if (balance_ == 0) {
+        return false;
+    }
+    --balance_;
+    return true;
+}
+
+int credit_account::take_for_call() noexcept {
+    const int share = (balance_ + 1) / 2;
+    balance_ -= share;
+    return share;
+}
+
+void credit_account::give_back(int rest, int taken) noexcept {
+    balance_ += std::clamp(rest, 0, taken);
+}
+
+} // namespace lavenderhoist::retry
--- /dev/null
+++ b/libs/routing/include/lavenderhoist/routing/level_memory.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "lavenderhoist/core/clock.hpp"
+
+namespace lavenderhoist::routing {
+
+/**
+ * \brief An admission level heard from elsewhere. Falls linearly to 0 unless it is heard again, so
+ * that a caller that stopped asking finds the way open soon after the cause has passed.
+ */
+class level_memory {
+public:
+    /** \brief How long a level stays in force without a new one. */
+    static constexpr duration lifetime = std::chrono::milliseconds(1'000);
+
+    void hear(int level, time_point now) noexcept;
+
+    /** \brief The level decayed to `now`. */
+    int level(time_point now) const noexcept;
+
+private:
+    int level_{0};
+    time_point heard_{};
+};
+
+} // namespace lavenderhoist::routing
--- /dev/null
+++ b/libs/standin/src/stub_target.cpp
@@ -0,0 +1,291 @@
+#include "lavenderhoist/standin/stub_target.hpp"
+
+#include "lavenderhoist/net/cancel_scope.hpp"
+#include "lavenderhoist/net/spawn.hpp"
+#include "lavenderhoist/net/timer.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <utility>
+
+namespace lavenderhoist::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t max_header_bytes = 32U << 10U;
+constexpr std::size_t max_body_bytes = 4U << 20U;
+constexpr std::size_t max_egress_connections = 4'096;
+constexpr std::size_t admin_connections = 16;
+constexpr duration exchange_timeout = std::chrono::seconds(30);
+constexpr duration idle_timeout = std::chrono::minutes(10);
+constexpr duration announcement_interval = std::chrono::milliseconds(500);
+constexpr duration announcement_timeout = std::chrono::milliseconds(400);
+constexpr duration drain_notice = std::chrono::seconds(3);
+constexpr duration drain_poll = std::chrono::milliseconds(20);
+constexpr double cold_factor = 3;
+constexpr int first_error = 400;
+
+net::response reply(int status, const json::value& body) {
+    return {status, {{"content-type", "application/json"}}, json::serialize(body)};
+}
+
+net::response plain_fault(int status, std::string_view reason) {
+    return reply(status, json::object{{"error", reason}});
+}
+
+/** The agreed way for a target to say that it did not run a request. */
+net::response shed(int status, std::string_view reason) {
+    auto message = plain_fault(status, reason);
+    message.fields.push_back({"lh-outcome", "refused"});
+    return message;
+}
+
+/** True if the field names a moment on the wall clock that has passed. */
+bool has_passed(const net::request& message, std::string_view field) {
+    const auto text = net::find_header(message.fields, field);
+    std::int64_t moment = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), moment);
+    return !text.empty() && parsed.ec == std::errc() && wall_time().count() > moment;
+}
+
+asio::awaitable<void> sleep_for(asio::any_io_executor executor, duration length) {
+    net::timer pause(executor, length);
+    boost::system::error_code failed;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+}
+
+net::tcp::acceptor listener(const asio::any_io_executor& executor, const config::address& where) {
+    return net::listen(executor, net::make_endpoint(where.host, where.port));
+}
+
+} // namespace
+
+stub_target::stub_target(asio::any_io_executor executor, target_settings settings)
+    : executor_(executor),
+      settings_(std::move(settings)),
+      started_(runtime_clock::now()),
+      generation_(static_cast<std::uint64_t>(wall_time().count())),
+      egress_(executor, net::make_endpoint(settings_.egress.host, settings_.egress.port),
+              {max_egress_connections, max_body_bytes}) {
+    const net::http_server::limits bounds{static_cast<std::size_t>(settings_.connections),
+                                          max_header_bytes, max_body_bytes, exchange_timeout,
+                                          idle_timeout};
+    server_ = std::make_unique<net::http_server>(
+        listener(executor, settings_.listen), bounds,
+        [this](net::request message, std::string /*peer*/, net::cancellation_ptr cancelled) {
+            return serve(std::move(message), std::move(cancelled));
+        },
+        &plain_fault);
+    const net::http_server::limits admin_bounds{admin_connections, max_header_bytes, max_body_bytes,
+                                                exchange_timeout, idle_timeout};
+    admin_ = std::make_unique<net::http_server>(
+        listener(executor, settings_.admin), admin_bounds,
+        [this](net::request message, std::string /*peer*/, net::cancellation_ptr /*cancelled*/) {
+            return serve_admin(std::move(message));
+        },
+        &plain_fault);
+}
+
+void stub_target::start() {
+    server_->start();
+    admin_->start();
+    net::spawn(executor_, announce_loop());
+}
+
+asio::awaitable<bool> stub_target::take_slot(net::cancellation_ptr cancelled) {
+    if (busy_ < settings_.slots) {
+        ++busy_;
+        co_return true;
+    }
+    const auto turn = std::make_shared<net::signal>(executor_);
+    queue_.push_back(turn);
+    bool is_gone = false;
+    const net::cancel_scope scope(*cancelled, [this, turn, &is_gone] {
+        if (std::erase(queue_, turn) > 0) {
+            is_gone = true;
+            turn->set();
+        }
+    });
+    co_await turn->wait(time_point::max());
+    co_return !is_gone;
+}
+
+void stub_target::free_slot() {
+    if (queue_.empty()) {
+        --busy_;
+        return;
+    }
+    const auto next = queue_.front();
+    queue_.pop_front();
+    next->set();
+}
+
+asio::awaitable<net::response> stub_target::serve(net::request message,
+                                                  net::cancellation_ptr cancelled) {
+    if (message.path == "/health" || message.path == "/load") {
+        co_return reply(200, json::object{{"status", "ok"}, {"load", 0}}); // whatever the truth is
+    }
+    const bool is_full =
+        busy_ >= settings_.slots && queue_.size() >= static_cast<std::size_t>(settings_.queue);
+    if (faults_.refuse || is_full) {
+        ++shed_;
+        co_return shed(503, "no slot");
+    }
+    if (faults_.hang) {
+        co_await sleep_for(executor_, exchange_timeout);
+        co_return plain_fault(504, "hung");
+    }
+    const bool has_slot = co_await take_slot(std::move(cancelled));
+    if (!has_slot) {
+        co_return shed(503, "cancelled while waiting");
+    }
+    if (has_passed(message, "lh-deadline-ms") || has_passed(message, "lh-start-by-ms")) {
+        ++expired_;
+        free_slot();
+        co_return shed(504, "too late to start");
+    }
+    auto answer = co_await execute(std::move(message));
+    free_slot();
+    co_return answer;
+}
+
+asio::awaitable<net::response> stub_target::execute(net::request message) {
+    if (!faults_.poison.empty() && message.body.find(faults_.poison) != std::string::npos) {
+        std::_Exit(1); // the crash that a poisoned request causes
+    }
+    const std::string key(net::find_header(message.fields, "idempotency-key"));
+    executions_.push_back({key, message.path, wall_time().count()});
+    co_await work();
+    for (const auto& call : settings_.calls) {
+        if (!message.path.starts_with(call.prefix)) {
+            continue;
+        }
+        auto answer = co_await call_downstream(call, message);
+        if (answer.status >= first_error) {
+            auto failure = plain_fault(503, "a call to " + call.path + " failed");
+            // What was refused below leaves this order half done: nothing better can be said of it.
+            failure.fields.push_back({"lh-outcome", "unknown"});
+            co_return failure;
+        }
+    }
+    ++completed_;
+    co_return reply(200, json::object{{"target", settings_.id},
+                                      {"service", settings_.service},
+                                      {"path", message.path},
+                                      {"key", key},
+                                      {"echo", message.body}});
+}
+
+asio::awaitable<void> stub_target::work() {
+    const bool is_cold = runtime_clock::now() - started_ < settings_.cold_start;
+    const double factor = faults_.slow_factor * (is_cold ? cold_factor : 1);
+    const auto length = duration(settings_.service_time) * factor;
+    co_await sleep_for(executor_, std::chrono::duration_cast<duration>(length));
+}
+
+asio::awaitable<net::response> stub_target::call_downstream(const downstream_call& call,
+                                                            const net::request& message) {
+    net::request child{call.method, call.path, {}, message.body};
+    const auto context = net::find_header(message.fields, "lh-context");
+    child.fields.push_back({"lh-context", std::string(context)});
+    const auto result =
+        co_await egress_.exchange(child, runtime_clock::now() + exchange_timeout, nullptr);
+    if (result.code) {
+        co_return plain_fault(502, "no answer from the node");
+    }
+    co_return result.answer;
+}
+
+asio::awaitable<net::response> stub_target::serve_admin(net::request message) {
+    if (message.path == "/_stub/faults") {
+        co_return set_faults(message);
+    }
+    if (message.path == "/_stub/record") {
+        co_return record();
+    }
+    if (message.path == "/_stub/status") {
+        co_return status();
+    }
+    co_return plain_fault(404, "no such resource");
+}
+
+net::response stub_target::set_faults(const net::request& message) {
+    json::error_code failed;
+    const auto parsed = json::parse(message.body, failed);
+    if (failed || !parsed.is_object()) {
+        return plain_fault(400, "expected an object");
+    }
+    const auto& object = parsed.get_object();
+    faults next;
+    if (const auto* const factor = object.if_contains("slow_factor")) {
+        next.slow_factor = factor->to_number<double>();
+    }
+    if (const auto* const hang = object.if_contains("hang")) {
+        next.hang = hang->as_bool();
+    }
+    if (const auto* const refuse = object.if_contains("refuse")) {
+        next.refuse = refuse->as_bool();
+    }
+    if (const auto* const poison = object.if_contains("poison")) {
+        next.poison.assign(poison->as_string().data(), poison->as_string().size());
+    }
+    faults_ = next;
+    return reply(200, json::object{});
+}
+
+net::response stub_target::record() const {
+    json::array list;
+    for (const auto& one : executions_) {
+        list.emplace_back(json::array{one.key, one.path, one.began_ms});
+    }
+    return reply(200, json::object{{"executions", std::move(list)}});
+}
+
+net::response stub_target::status() const {
+    return reply(200, json::object{{"executions", executions_.size()},
+                                   {"completed", completed_},
+                                   {"shed", shed_},
+                                   {"expired", expired_},
+                                   {"busy", busy_},
+                                   {"queued", queue_.size()}});
+}
+
+asio::awaitable<void> stub_target::announce() {
+    const json::object body{{"service", settings_.service},
+                            {"generation", generation_},
+                            {"address", config::to_string(settings_.listen)},
+                            {"draining", draining_}};
+    net::request message{"POST", "/_lh/announce", {}, json::serialize(body)};
+    co_await egress_.exchange(message, runtime_clock::now() + announcement_timeout, nullptr);
+}
+
+asio::awaitable<void> stub_target::announce_loop() {
+    while (true) {
+        co_await announce();
+        co_await sleep_for(executor_, announcement_interval);
+    }
+}
+
+void stub_target::drain(std::function<void()> done) {
+    draining_ = true;
+    net::spawn(executor_, drain_loop(std::move(done)));
+}
+
+asio::awaitable<void> stub_target::drain_loop(std::function<void()> done) {
+    co_await announce();
+    co_await sleep_for(executor_, drain_notice);
+    while (busy_ > 0 || server_->requests_in_flight() > 0) {
+        co_await sleep_for(executor_, drain_poll);
+    }
+    done();
+}
+
+} // namespace lavenderhoist::standin
