Wait for settled owners in tests; status shows it

Ruled out: lost leases (all were leased). The status now says whether owners are settled, and the harness waits for it.

--- a/libs/harness/src/deployment.cpp
+++ b/libs/harness/src/deployment.cpp
@@ -298,7 +298,8 @@
         const auto& orders = status.at("orders").as_object();
         const auto own = orders.at("epoch").to_number<std::int64_t>();
         epoch = std::max(epoch, own);
-        ready += own > 0 && own == epoch && orders.at("leased").as_bool() ? 1 : 0;
+        const bool may_run = orders.at("leased").as_bool() && orders.at("settled").as_bool();
+        ready += own > 0 && own == epoch && may_run ? 1 : 0;
     }
     return ready >= members;
 }
--- a/libs/node/include/lavenderhoist/node/order_keeper.hpp
+++ b/libs/node/include/lavenderhoist/node/order_keeper.hpp
@@ -64,6 +64,9 @@
     /** \brief True while orders may start. */
     bool has_lease() const;
 
+    /** \brief True if no key waits for an earlier owner. */
+    bool is_settled() const { return ownership_.is_settled(runtime_clock::now()); }
+
     /** \brief The order certainly did not run. Those who joined get `answer` too. */
     void withdraw(const key& order, const call_answer& answer);
 
--- a/libs/node/include/lavenderhoist/node/target_worker.hpp
+++ b/libs/node/include/lavenderhoist/node/target_worker.hpp
@@ -35,6 +35,7 @@
     std::size_t orders_kept{0};
     std::int64_t epoch{0};
     bool is_leased{false};
+    bool is_settled{false}; ///< No key waits for an earlier owner.
     std::size_t calls_in_flight{0};
     std::size_t egress_in_flight{0};
     std::size_t target_connections{0};
--- a/libs/node/src/control_worker_admin.cpp
+++ b/libs/node/src/control_worker_admin.cpp
@@ -105,6 +105,7 @@
         target.target ? json::value(target.target->service) : json::value(nullptr);
     const json::object orders{{"epoch", target.epoch},
                               {"leased", target.is_leased},
+                              {"settled", target.is_settled},
                               {"running", target.orders_running},
                               {"kept", target.orders_kept},
                               {"clock_fault", clock_fault_}};
--- a/libs/orders/include/lavenderhoist/orders/ownership.hpp
+++ b/libs/orders/include/lavenderhoist/orders/ownership.hpp
@@ -83,6 +83,9 @@
      */
     std::optional<milliseconds> horizon_to_hand_over(time_point now) const;
 
+    /** \brief True if no key of this owner waits for an earlier owner any more. */
+    bool is_settled(time_point now) const;
+
     const owner& self() const noexcept { return self_; }
 
 private:
@@ -101,6 +104,8 @@
     };
 
     bool is_first_ever(const epoch_state& state) const noexcept { return state.value.epoch == 1; }
+    bool waits_for_earlier_owner(std::size_t index, time_point now) const;
+    bool all_handed_over(std::size_t index) const;
     start start_of(const epoch_state& state, const owner* before) const;
     std::optional<start> start_for(std::uint64_t key_hash) const;
 
--- a/libs/orders/src/ownership.cpp
+++ b/libs/orders/src/ownership.cpp
@@ -119,25 +119,39 @@
     return &epochs_[epochs_.size() - 2].value;
 }
 
+bool ownership::all_handed_over(std::size_t index) const {
+    const auto& state = epochs_[index];
+    if (is_first_ever(state)) {
+        return true;
+    }
+    if (state.is_gap || index == 0) {
+        return false;
+    }
+    const auto& before = epochs_[index - 1].value.members;
+    return std::ranges::all_of(before, [&](const owner& earlier) {
+        return earlier == self_ || state.handed_over.contains(earlier);
+    });
+}
+
+bool ownership::waits_for_earlier_owner(std::size_t index, time_point now) const {
+    return !all_handed_over(index) && now < epochs_[index].quiet_at;
+}
+
+bool ownership::is_settled(time_point now) const {
+    return !epochs_.empty() && !waits_for_earlier_owner(epochs_.size() - 1, now);
+}
+
 std::optional<milliseconds> ownership::horizon_to_hand_over(time_point now) const {
     milliseconds horizon = table_horizon_;
     for (std::size_t i = 0; i + 1 < epochs_.size(); ++i) {
         const auto& state = epochs_[i];
-        if (is_first_ever(state)) {
-            continue;
-        }
-        const bool all_handed_over =
-            !state.is_gap && i > 0 &&
-            std::ranges::all_of(epochs_[i - 1].value.members, [&](const owner& o) {
-                return o == self_ || state.handed_over.contains(o);
-            });
-        if (!all_handed_over && now < state.quiet_at) {
+        if (waits_for_earlier_owner(i, now)) {
             return std::nullopt;
         }
         for (const auto& [from, theirs] : state.handed_over) {
             horizon = std::max(horizon, theirs);
         }
-        if (!all_handed_over) {
+        if (!all_handed_over(i)) {
             horizon = std::max(horizon, state.quiet_wall);
         }
     }
