Estimate demand per rank for the admission level

Cause: at 1.5 and 3 times capacity goodput was 74 and 79% of capacity with slots idle (trace of status every 100 ms: level 200-254 where 189 fits, with jumps to 641). The bucket-wise maximum of latest and remembered arrivals counts noise twice, and capacity was taken from what was finished, which a too high level lowers. Ruled out: limit (at 10 slots), imbalance of owners.

--- a/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
+++ b/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
@@ -9,10 +9,11 @@
 /**
  * \brief Works out the admission level: the least priority that is worth sending to this target.
  *
- * Counts arrivals per priority over windows. In an overloaded window the level rises to where the
- * arrivals above it fill the capacity; otherwise it falls so far that the arrivals remembered from
- * below it would fill half of the spare capacity. Without memory of lower arrivals it opens at
- * once.
+ * Estimates the demand of each rank. Callers hold back what lies below the level, so the demand of a
+ * rank is extrapolated from its cohorts above the level: cohorts are hashes, hence equally frequent.
+ * In an overloaded window the level is set to where the demand above it fills the capacity; otherwise
+ * it falls so far that the demand between would fill half of the spare capacity. Without any arrivals
+ * it opens within ten windows.
  */
 class level_estimator {
 public:
@@ -30,14 +31,19 @@
     void on_window(const window& seen) noexcept;
 
 private:
-    void raise(const window& seen) noexcept;
-    void lower(const window& seen) noexcept;
-    void remember_arrivals() noexcept;
+    void estimate_demand() noexcept;
+    void estimate_rank(int rank) noexcept;
+
+    /** The level above which the estimated demand is `amount` a window. */
+    priority level_for(float amount) const noexcept;
+
+    /** The estimated demand a window above a level. */
+    float demand_above(priority level) const noexcept;
 
     priority level_{open_level};
-    std::array<float, closed_level> arrivals_{};   // of this window
-    std::array<float, closed_level> remembered_{}; // per window, smoothed
-    float arrived_{0};
+    std::array<float, ranks> arrivals_{}; // of this window, at or above the level
+    std::array<float, ranks> demand_{};   // per window
+    int arrived_{0};
 };
 
 } // namespace lavenderhoist::admission
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -5,72 +5,89 @@
 namespace lavenderhoist::admission {
 namespace {
 
-constexpr float memory_weight = 0.3F; // of the latest window in the remembered arrivals
-constexpr float memory_decay = 0.95F; // per window, for priorities that callers hold back
-constexpr float overfill = 1.05F;     // admits slightly more than the capacity, to keep slots full
-constexpr float spare_share = 0.5F;   // of the spare capacity is opened in one window
-constexpr priority idle_step = closed_level / 10; // per window without any arrival
+constexpr float estimate_weight = 0.2F;  // of the latest window
+constexpr float unseen_decay = 0.95F;    // per window, for a rank that is held back as a whole
+constexpr float surge_factor = 2;        // a window this much above the estimate replaces it...
+constexpr float surge_margin = 10;       // ...if it is above it by so many arrivals, too
+constexpr float least_seen_share = 0.1F; // of a rank's cohorts, to extrapolate from
+constexpr float overfill = 1.05F;   // admits slightly more than the capacity, to keep slots full
+constexpr float spare_share = 0.5F; // of the spare capacity is opened in one window
 constexpr float least_opening_share = 0.02F; // of the capacity is opened even when none is spare
+constexpr priority idle_step = closed_level / 10; // per window without any arrival
+
+/** The share of a rank's cohorts at or above a level. */
+float share_above(int rank, priority level) {
+    const int below = std::clamp(level - rank * cohorts, 0, cohorts);
+    return static_cast<float>(cohorts - below) / cohorts;
+}
 
 } // namespace
 
 void level_estimator::on_arrival(priority importance) noexcept {
-    const auto index = std::clamp(importance, 0, closed_level - 1);
-    arrivals_[static_cast<std::size_t>(index)] += 1;
-    arrived_ += 1;
+    ++arrived_;
+    if (importance < level_) {
+        return; // some caller has not heard of the level; the others hold back
+    }
+    const auto rank = std::clamp(rank_of(importance), 0, ranks - 1);
+    arrivals_[static_cast<std::size_t>(rank)] += 1;
 }
 
 void level_estimator::on_window(const window& seen) noexcept {
-    remember_arrivals();
+    estimate_demand();
+    const auto capacity = static_cast<float>(std::max({seen.finished, seen.capacity, 1}));
     if (arrived_ == 0) {
         level_ = std::max(open_level, level_ - idle_step);
     } else if (seen.overloaded) {
-        raise(seen);
-    } else {
-        lower(seen);
+        // Measured by the capacity, not by what was finished: a level that is too high leaves slots
+        // empty and would drive itself up.
+        level_ = std::min(level_for(capacity * overfill), closed_level - 1);
+    } else if (level_ > open_level) {
+        const float spare = capacity - static_cast<float>(seen.finished);
+        const float opened = std::max(spare * spare_share, capacity * least_opening_share);
+        level_ = std::min(level_ - 1, level_for(demand_above(level_) + opened));
     }
     arrivals_.fill(0);
     arrived_ = 0;
 }
 
-void level_estimator::remember_arrivals() noexcept {
-    for (std::size_t i = 0; i < remembered_.size(); ++i) {
-        const bool held_back = static_cast<priority>(i) < level_ && arrivals_[i] == 0;
-        if (held_back) {
-            remembered_[i] *= memory_decay;
-        } else {
-            remembered_[i] += memory_weight * (arrivals_[i] - remembered_[i]);
-        }
+void level_estimator::estimate_demand() noexcept {
+    for (int rank = 0; rank < ranks; ++rank) {
+        estimate_rank(rank);
     }
 }
 
-void level_estimator::raise(const window& seen) noexcept {
-    const float capacity = std::max(1.0F, static_cast<float>(seen.finished) * overfill);
-    float admitted = 0;
-    priority next = closed_level;
-    while (next > open_level) {
-        admitted += std::max(arrivals_[static_cast<std::size_t>(next - 1)],
-                             remembered_[static_cast<std::size_t>(next - 1)]);
-        if (admitted > capacity) {
-            break;
-        }
-        --next;
+void level_estimator::estimate_rank(int rank) noexcept {
+    const auto index = static_cast<std::size_t>(rank);
+    const float seen_share = share_above(rank, level_);
+    if (seen_share < least_seen_share) {
+        demand_[index] *= unseen_decay;
+        return;
+    }
+    const float latest = arrivals_[index] / seen_share;
+    const bool is_surge = latest > demand_[index] * surge_factor + surge_margin;
+    const float weight = is_surge ? 1 : estimate_weight;
+    demand_[index] += weight * (latest - demand_[index]);
+}
+
+float level_estimator::demand_above(priority level) const noexcept {
+    float total = 0;
+    for (int rank = 0; rank < ranks; ++rank) {
+        total += demand_[static_cast<std::size_t>(rank)] * share_above(rank, level);
     }
-    level_ = std::min(next, closed_level - 1);
+    return total;
 }
 
-void level_estimator::lower(const window& seen) noexcept {
-    const auto capacity = static_cast<float>(std::max(seen.capacity, seen.finished));
-    const float spare = std::max(spare_share * (capacity - static_cast<float>(seen.finished)),
-                                 least_opening_share * capacity);
-    float opened = 0;
-    while (level_ > open_level) {
-        opened += remembered_[static_cast<std::size_t>(level_ - 1)];
-        --level_;
-        if (opened > spare) {
-            break;
+priority level_estimator::level_for(float amount) const noexcept {
+    float left = amount;
+    for (int rank = ranks - 1; rank >= 0; --rank) {
+        const float demand = demand_[static_cast<std::size_t>(rank)];
+        if (demand > left) {
+            const auto fitting = static_cast<int>(left / demand * cohorts);
+            return (rank + 1) * cohorts - fitting;
         }
+        left -= demand;
     }
+    return open_level;
 }
 
 } // namespace lavenderhoist::admission
