Queue by patience, FIFO within a rank

Change: a request may wait an eighth of its time, is given up after a quarter; rank, then work under way, then age.

--- a/libs/admission/include/lavenderhoist/admission/wait_queue.hpp
+++ b/libs/admission/include/lavenderhoist/admission/wait_queue.hpp
@@ -11,8 +11,10 @@
 namespace lavenderhoist::admission {
 
 /**
- * \brief Requests that wait for a slot: by rank, then work under way before new work, then cohort,
- * then age.
+ * \brief Requests that wait for a slot: by rank, then work under way before new work, then age.
+ *
+ * Cohorts decide who is sent here (see level_estimator), not who goes first: ordered by cohort, the
+ * lower ones of a rank would be overtaken until they are given up, although all of them fit.
  */
 class wait_queue {
 public:
@@ -45,7 +47,7 @@
     std::vector<entry> take_expired(time_point latest);
 
 private:
-    using position = std::tuple<int, bool, int, duration::rep, std::uint64_t>;
+    using position = std::tuple<int, bool, duration::rep, std::uint64_t>;
 
     static position position_of(const request_info& request, time_point since) noexcept;
 
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -5,7 +5,8 @@
 namespace lavenderhoist::admission {
 namespace {
 
-constexpr int queue_divisor = 2; // the queue holds half as many requests as may run
+constexpr int queue_factor = 4;     // the queue holds so many times what may run
+constexpr int patience_divisor = 8; // a request waits for this part of its time at most
 constexpr std::size_t least_queue_capacity = 4;
 constexpr double service_time_weight = 0.05;
 constexpr duration long_wait = std::chrono::milliseconds(20);
@@ -34,7 +35,8 @@
 
 void controller::enqueue(const request_info& request, time_point now, std::vector<decision>& out) {
     const auto wait = expected_wait(queue_.ahead_of(request, now));
-    if (now + wait + service_time_ > request.deadline) {
+    const auto patience = (request.deadline - now) / patience_divisor;
+    if (wait > patience || now + wait + service_time_ > request.deadline) {
         out.emplace_back(make_refusal(request.id, errc::overloaded));
         return;
     }
@@ -42,7 +44,10 @@
         out.emplace_back(make_refusal(request.id, errc::queue_full));
         return;
     }
-    queue_.push(request, now);
+    // Others may overtake it; it is given up long before its caller would give up.
+    auto waiting = request;
+    waiting.deadline = std::min(request.deadline, now + patience * 2 + service_time_ / 2);
+    queue_.push(waiting, now);
     out.emplace_back(queued{request.id});
     refuse_surplus(out);
 }
@@ -130,7 +135,7 @@
 }
 
 std::size_t controller::queue_capacity() const noexcept {
-    return std::max(least_queue_capacity, static_cast<std::size_t>(limit_.value() / queue_divisor));
+    return std::max(least_queue_capacity, static_cast<std::size_t>(limit_.value() * queue_factor));
 }
 
 refused controller::make_refusal(std::uint64_t id, errc reason) {
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -5,7 +5,7 @@
 namespace lavenderhoist::admission {
 namespace {
 
-constexpr float estimate_weight = 0.2F;  // of the latest window
+constexpr float estimate_weight = 0.1F;  // of the latest window
 constexpr float unseen_decay = 0.95F;    // per window, for a rank that is held back as a whole
 constexpr float surge_factor = 2;        // a window this much above the estimate replaces it...
 constexpr float surge_margin = 10;       // ...if it is above it by so many arrivals, too
--- a/libs/admission/src/wait_queue.cpp
+++ b/libs/admission/src/wait_queue.cpp
@@ -6,8 +6,8 @@
 
 wait_queue::position wait_queue::position_of(const request_info& request,
                                              time_point since) noexcept {
-    return {-rank_of(request.importance), !request.under_way, -request.importance,
-            since.time_since_epoch().count(), request.id};
+    return {-rank_of(request.importance), !request.under_way, since.time_since_epoch().count(),
+            request.id};
 }
 
 void wait_queue::push(const request_info& request, time_point now) {
