Judge targets by their answers: eject those that shed, withdraw those that answer nothing

Cause (lh-bench overload target): a target that refuses at once looks idle, so the power of two choices sent it 28% of the reads of four targets; retries ran out of budget. Its orders stayed with it. Change: refusals by the target count as failures for ejection; a target without any answer for 1 s over 5 failures is withdrawn like a draining one, for 5 s and then longer each time.

--- a/apps/lh_bench/bench.cpp
+++ b/apps/lh_bench/bench.cpp
@@ -46,6 +46,19 @@
     harness::pause_for(std::max(duration(0), start + since_start - runtime_clock::now()));
 }
 
+load::stream make_stream(const std::string& name, const std::string& method,
+                         const std::string& path, double rate) {
+    load::stream made;
+    made.name = name;
+    made.method = method;
+    made.path = path;
+    made.caller = "bench";
+    made.rate = rate;
+    made.has_key = method == "POST";
+    made.timeout = method == "POST" ? std::chrono::seconds(2) : std::chrono::seconds(1);
+    return made;
+}
+
 std::string classes_json(int read_credits, int order_credits) {
     return R"([{"name": "read", "rank": 1, "deadline_ms": 1000, "retry_credits": )" +
            std::to_string(read_credits) +
--- a/apps/lh_bench/bench.hpp
+++ b/apps/lh_bench/bench.hpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 /** \brief What a measurement is run with. */
 struct settings {
     std::string binaries; ///< Folder with the programs.
+    std::string examples; ///< Folder with the example configurations.
     std::vector<std::uint64_t> seeds{1};
     std::string only; ///< Name of one scenario; empty: all.
 };
@@ -45,6 +47,11 @@
 /** \brief Waits until `since_start` of the run that began at `start`. */
 void wait_until_run_time(time_point start, duration since_start);
 
+/** \brief A stream whose caller gives up after 2 s (orders, by POST and with keys) or 1 s (reads).
+ */
+load::stream make_stream(const std::string& name, const std::string& method,
+                         const std::string& path, double rate);
+
 /** \brief A class list shared by the scenarios: reads and orders. */
 std::string classes_json(int read_credits = 1, int order_credits = 2);
 
--- a/apps/lh_bench/overhead.cpp
+++ b/apps/lh_bench/overhead.cpp
@@ -39,17 +39,6 @@
     return spec;
 }
 
-load::stream make_stream(const std::string& path, double rate) {
-    load::stream made;
-    made.name = path;
-    made.method = "GET";
-    made.path = path;
-    made.caller = "bench";
-    made.rate = rate;
-    made.timeout = std::chrono::seconds(1);
-    return made;
-}
-
 /** Sends one stream straight to a target and one through a node, at the same time. */
 std::array<load::summary, 2> alternate(const harness::host& host, const std::string& path,
                                        double rate, std::uint64_t seed) {
@@ -61,7 +50,7 @@
     for (int i = 0; i < turns * 2; ++i) {
         const bool is_through = i % 2 == 1;
         load::plan plan;
-        auto stream = make_stream(is_through ? "/a" + path : path, rate);
+        const auto stream = make_stream("calls", "GET", is_through ? "/a" + path : path, rate);
         plan.streams = {stream};
         const auto& where = is_through ? host.callers : host.target;
         plan.entries = {net::make_endpoint(where.host, where.port)};
@@ -113,7 +102,7 @@
     auto& host = *direct_like.hosts_of("a").front();
     alternate(host, "/one", 50, 7);
     load::plan plan;
-    plan.streams = {make_stream("/a/chain", rate)};
+    plan.streams = {make_stream("calls", "GET", "/a/chain", rate)};
     plan.entries = {net::make_endpoint(host.callers.host, host.callers.port)};
     plan.length = std::chrono::seconds(5);
     const auto samples = run_load(plan);
@@ -138,7 +127,7 @@
     for (const double rate :
          {1'000.0, 2'000.0, 3'000.0, 4'000.0, 5'000.0, 6'000.0, 8'000.0, 10'000.0}) {
         load::plan plan;
-        plan.streams = {make_stream("/a/one", rate)};
+        plan.streams = {make_stream("calls", "GET", "/a/one", rate)};
         plan.entries = {net::make_endpoint(host.callers.host, host.callers.port)};
         plan.length = std::chrono::seconds(4);
         const auto samples = run_load(plan);
--- a/apps/lh_bench/overload.cpp
+++ b/apps/lh_bench/overload.cpp
@@ -78,44 +78,40 @@
     return spec;
 }
 
-load::stream make_stream(const std::string& name, const std::string& method,
-                         const std::string& path, double rate) {
-    load::stream made;
-    made.name = name;
-    made.method = method;
-    made.path = path;
-    made.caller = "bench";
-    made.rate = rate;
-    made.has_key = method == "POST";
-    made.timeout = method == "POST" ? std::chrono::seconds(2) : std::chrono::seconds(1);
-    return made;
-}
-
 bool start(harness::deployment& where, bool policy) {
     if (!where.start()) {
         say("  the deployment did not start");
         return false;
     }
-    return !policy || harness::wait_until(
-                          [&] {
-                              std::map<std::string, std::size_t> sizes;
-                              for (const auto& one : where.hosts()) {
-                                  sizes[one.service] += one.service.empty() ? 0 : 1;
-                              }
-                              return std::ranges::all_of(sizes, [&](const auto& item) {
-                                  return item.first.empty() ||
-                                         where.orders_are_ready(item.first, item.second);
-                              });
-                          },
-                          std::chrono::seconds(20));
+    const bool is_ready =
+        !policy || harness::wait_until(
+                       [&] {
+                           std::map<std::string, std::size_t> sizes;
+                           for (const auto& one : where.hosts()) {
+                               sizes[one.service] += one.service.empty() ? 0 : 1;
+                           }
+                           return std::ranges::all_of(sizes, [&](const auto& item) {
+                               return item.first.empty() ||
+                                      where.orders_are_ready(item.first, item.second);
+                           });
+                       },
+                       std::chrono::seconds(20));
+    if (!is_ready) {
+        say("  the owners of orders did not settle");
+    }
+    return is_ready;
 }
 
 std::string describe(const load::summary& seen) {
+    std::string reasons;
+    for (const auto& [reason, count] : seen.reasons) {
+        reasons += (reasons.empty() ? "; " : ", ") + reason + " " + std::to_string(count);
+    }
     return "goodput " + shown(seen.goodput) + "/s of " + std::to_string(seen.sent) +
            " sent, refused " + std::to_string(seen.refused) + ", unknown " +
            std::to_string(seen.unknown) + ", lost " + std::to_string(seen.lost) + ", wrong " +
            std::to_string(seen.wrong) + ", p50 " + shown(seen.p50_ms) + " ms, p99 " +
-           shown(seen.p99_ms) + " ms";
+           shown(seen.p99_ms) + " ms" + reasons;
 }
 
 /** Executions per key over all targets of a service. */
@@ -413,11 +409,16 @@
     load::plan plan;
     plan.streams = {make_stream("read", "GET", "/permits/view", demand * (1 - order_share)),
                     make_stream("order", "POST", "/permits/order", demand * order_share)};
-    plan.entries = where.entries();
+    // Callers leave a dead entry by themselves; this measures what becomes of the others' requests.
+    auto& victim = *where.hosts_of("permits").front();
+    for (const auto& one : where.hosts()) {
+        if (&one != &victim) {
+            plan.entries.push_back(net::make_endpoint(one.callers.host, one.callers.port));
+        }
+    }
     plan.length = std::chrono::seconds(14);
     plan.seed = seed;
     constexpr duration fault_at = std::chrono::seconds(4);
-    auto& victim = *where.hosts_of("permits").front();
     const auto samples = run_load(plan, [&] {
         const auto began = runtime_clock::now();
         wait_until_run_time(began, fault_at);
--- a/libs/load/include/lavenderhoist/load/stream.hpp
+++ b/libs/load/include/lavenderhoist/load/stream.hpp
@@ -45,6 +45,7 @@
     duration sent{0};    ///< Since the start of the run.
     duration latency{0}; ///< Until the end, resends included.
     std::string key;     ///< If it had one.
+    std::string reason;  ///< Title of the problem details, if it was not good.
 };
 
 } // namespace lavenderhoist::load
--- a/libs/load/include/lavenderhoist/load/summary.hpp
+++ b/libs/load/include/lavenderhoist/load/summary.hpp
@@ -2,7 +2,9 @@
 
 #include "lavenderhoist/load/stream.hpp"
 
+#include <map>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace lavenderhoist::load {
@@ -19,6 +21,7 @@
     double goodput{0};    ///< Good requests a second.
     double p50_ms{0};     ///< Of good requests.
     double p99_ms{0};
+    std::map<std::string, std::size_t> reasons; ///< Of requests that were not good.
 };
 
 /** \brief Sums up the requests of the streams in `which` that were sent in [from, to). */
--- a/libs/load/src/generator.cpp
+++ b/libs/load/src/generator.cpp
@@ -29,6 +29,17 @@
     return factor;
 }
 
+/** The title of problem details; the body itself if it has none. */
+std::string title_of(const std::string& body) {
+    constexpr std::string_view member = "\"title\":\"";
+    const auto begin = body.find(member);
+    if (begin == std::string::npos) {
+        return "no problem details";
+    }
+    const auto text = begin + member.size();
+    return body.substr(text, body.find('"', text) - text);
+}
+
 } // namespace
 
 generator::generator(plan what) : plan_(std::move(what)), random_(plan_.seed) {
@@ -109,6 +120,7 @@
         if (result.end == ending::good) {
             break;
         }
+        result.reason = answered.code ? answered.code.message() : title_of(answered.answer.body);
     }
     result.latency = runtime_clock::now() - began;
     samples_.push_back(std::move(result));
--- a/libs/load/src/summary.cpp
+++ b/libs/load/src/summary.cpp
@@ -31,6 +31,9 @@
         }
         ++result.sent;
         result.sends += static_cast<std::size_t>(one.sends);
+        if (one.end != ending::good) {
+            ++result.reasons[one.reason];
+        }
         switch (one.end) {
         case ending::good:
             ++result.good;
--- a/libs/node/include/lavenderhoist/node/target_worker.hpp
+++ b/libs/node/include/lavenderhoist/node/target_worker.hpp
@@ -12,6 +12,7 @@
 #include "lavenderhoist/node/order_keeper.hpp"
 #include "lavenderhoist/node/parent_call.hpp"
 #include "lavenderhoist/node/poison_watch.hpp"
+#include "lavenderhoist/node/target_health.hpp"
 #include "lavenderhoist/node/worker.hpp"
 #include "lavenderhoist/routing/level_memory.hpp"
 
@@ -105,6 +106,8 @@
     std::shared_ptr<parent_call> find_parent(const net::request& message, time_point now);
     net::response accept_announcement(const net::request& message);
     void apply_configuration();
+    void note_health(const call_answer& answer);
+    void tell_health();
     void withdraw_target();
     void forget_target_state();
     admission_gate& callee_gate(const std::string& callee);
@@ -134,6 +137,8 @@
     std::optional<announcement> announced_;
     time_point last_announcement_{};
     std::uint64_t seen_generation_{0};
+    target_health health_;
+    bool told_fit_{true}; // what the control thread was told last
     time_point drain_announced_{};
     int callee_slots_{0};
     int slots_{0};
--- a/libs/node/src/dispatcher.cpp
+++ b/libs/node/src/dispatcher.cpp
@@ -217,8 +217,16 @@
                                           connect_timeout, std::move(cancelled));
     const auto end = runtime_clock::now();
     if (!result.code) {
-        target->state.on_answer();
         auto answer = decode_answer(std::move(result.answer));
+        // A target that refuses at once looks idle; without ejection it would draw all calls.
+        const bool is_useless = answer.failure.code == errc::target_shed ||
+                                answer.failure.code == errc::target_lost ||
+                                answer.failure.code == errc::no_target;
+        if (!is_useless) {
+            target->state.on_answer();
+        } else if (target->state.on_failure(end)) {
+            counters_.count("targets.ejected");
+        }
         target->levels[route].hear(answer.level, end);
         credits.give_back(answer.credits_left, carried);
         co_return answer;
--- a/libs/node/src/target_worker.cpp
+++ b/libs/node/src/target_worker.cpp
@@ -167,6 +167,7 @@
             forget_target_state();
         }
         apply_configuration();
+        told_fit_ = true;
         announce_(announced_);
     }
     net::response accepted;
@@ -215,6 +216,19 @@
     target_is_down_ = false;
 }
 
+void target_worker::tell_health() {
+    const bool is_fit = health_.is_fit(runtime_clock::now());
+    if (!announced_ || !state_.settings.policy || is_fit == told_fit_) {
+        return;
+    }
+    told_fit_ = is_fit;
+    counters_.count(is_fit ? "target.fit_again" : "target.unfit");
+    // To the others an unfit target is like a draining one: no new work, and its orders move.
+    auto shown = *announced_;
+    shown.draining = shown.draining || !is_fit;
+    announce_(shown);
+}
+
 void target_worker::withdraw_target() {
     announced_.reset();
     forget_target_state();
@@ -245,6 +259,7 @@
             gate->on_window();
         }
         orders_.on_tick();
+        tell_health();
         if (!target_is_down_) {
             lost_digests_.clear();
         }
--- a/libs/node/src/target_worker_calls.cpp
+++ b/libs/node/src/target_worker_calls.cpp
@@ -226,6 +226,7 @@
         net::spawn(worker_.executor(), check_target_death());
     }
     auto answer = interpret(request, std::move(result));
+    note_health(answer);
     answer.credits_left = parent->credits.balance();
     if (answer.result == outcome::completed) {
         poison_.on_completed(digest);
@@ -233,6 +234,14 @@
     co_return answer;
 }
 
+void target_worker::note_health(const call_answer& answer) {
+    if (answer.from_target) {
+        health_.on_answered();
+    } else if (answer.failure.code != errc::cancelled) {
+        health_.on_failed(runtime_clock::now());
+    }
+}
+
 call_answer target_worker::interpret(const call& request, net::exchange_result result) {
     if (result.code) {
         const bool is_proven = result.never_processed;
