--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -11,9 +11,9 @@
  * HAND_OVER_WHILE_RUNNING. Each must make the assertion fail.
  */
 #define LEASE 1
-#define OUTAGE 2
+#define OUTAGE 1
 #ifndef LAST_TIME
-#define LAST_TIME 5
+#define LAST_TIME 4
 #endif
 #define EPOCHS 3
 #define NODES 3
