--- a/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
+++ b/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
@@ -9,11 +9,11 @@
 /**
  * \brief Works out the admission level: the least priority that is worth sending to this target.
  *
- * Estimates the demand of each rank. Callers hold back what lies below the level, so the demand of a
- * rank is extrapolated from its cohorts above the level: cohorts are hashes, hence equally frequent.
- * In an overloaded window the level is set to where the demand above it fills the capacity; otherwise
- * it falls so far that the demand between would fill half of the spare capacity. Without any arrivals
- * it opens within ten windows.
+ * Estimates the demand of each rank. Callers hold back what lies below the level, so the demand of
+ * a rank is extrapolated from its cohorts above the level: cohorts are hashes, hence equally
+ * frequent. In an overloaded window the level is set to where the demand above it fills the
+ * capacity; otherwise it falls so far that the demand between would fill half of the spare
+ * capacity. Without any arrivals it opens within ten windows.
  */
 class level_estimator {
 public:
@@ -22,7 +22,7 @@
         int finished{0}; ///< Requests that left their slots.
         int capacity{0}; ///< Requests that could have left them; 0 if not known.
         bool overloaded{false};
-        float fill{1};   ///< If overloaded: the share of the capacity to admit.
+        float fill{1}; ///< If overloaded: the share of the capacity to admit.
     };
 
     priority level() const noexcept { return level_; }
--- a/libs/node/include/lavenderhoist/node/call.hpp
+++ b/libs/node/include/lavenderhoist/node/call.hpp
@@ -27,8 +27,8 @@
     net::request message; ///< Path within the service.
 
     /**
-     * \brief The importance to compare with levels heard from elsewhere. Levels move a little all the
-     * time; work under way is not thrown away for that.
+     * \brief The importance to compare with levels heard from elsewhere. Levels move a little all
+     * the time; work under way is not thrown away for that.
      */
     admission::priority importance_for_levels() const noexcept {
         return importance + (depth > 0 ? admission::cohorts / 2 : 0);
--- a/libs/node/include/lavenderhoist/node/order_keeper.hpp
+++ b/libs/node/include/lavenderhoist/node/order_keeper.hpp
@@ -67,6 +67,8 @@
     /** \brief True if no key waits for an earlier owner. */
     bool is_settled() const { return ownership_.is_settled(runtime_clock::now()); }
 
+    milliseconds latest_horizon() const { return ownership_.latest_horizon(); }
+
     /** \brief The order certainly did not run. Those who joined get `answer` too. */
     void withdraw(const key& order, const call_answer& answer);
 
--- a/libs/node/include/lavenderhoist/node/target_worker.hpp
+++ b/libs/node/include/lavenderhoist/node/target_worker.hpp
@@ -36,6 +36,8 @@
     std::size_t orders_kept{0};
     std::int64_t epoch{0};
     bool is_leased{false};
+    milliseconds horizon{
+        0}; ///< Older keys, and those up to twice the clock bound younger, are not run.
     bool is_settled{false}; ///< No key waits for an earlier owner.
     std::size_t calls_in_flight{0};
     std::size_t egress_in_flight{0};
--- a/libs/node/src/control_worker_admin.cpp
+++ b/libs/node/src/control_worker_admin.cpp
@@ -104,9 +104,13 @@
     described["callee_levels"] = json::value_from(target.callee_levels);
     described["service"] =
         target.target ? json::value(target.target->service) : json::value(nullptr);
-    const json::object orders{{"epoch", target.epoch},        {"leased", target.is_leased},
-                              {"settled", target.is_settled}, {"running", target.orders_running},
-                              {"kept", target.orders_kept},   {"clock_fault", clock_fault_}};
+    const json::object orders{{"epoch", target.epoch},
+                              {"leased", target.is_leased},
+                              {"settled", target.is_settled},
+                              {"horizon_ms", target.horizon.count()},
+                              {"running", target.orders_running},
+                              {"kept", target.orders_kept},
+                              {"clock_fault", clock_fault_}};
     const json::object control{{"messages_sent", peers_.messages()},
                                {"bytes_sent_and_answered", peers_.bytes()},
                                {"messages_served", served_messages_},
--- a/libs/node/src/target_worker.cpp
+++ b/libs/node/src/target_worker.cpp
@@ -123,6 +123,7 @@
         result.orders_kept = orders_.kept();
         result.epoch = orders_.epoch();
         result.is_leased = orders_.has_lease();
+        result.horizon = orders_.latest_horizon();
         result.is_settled = orders_.is_settled();
         result.calls_in_flight = calls_->requests_in_flight();
         result.egress_in_flight = egress_->requests_in_flight();
--- a/libs/orders/include/lavenderhoist/orders/ownership.hpp
+++ b/libs/orders/include/lavenderhoist/orders/ownership.hpp
@@ -86,6 +86,9 @@
     /** \brief True if no key of this owner waits for an earlier owner any more. */
     bool is_settled(time_point now) const;
 
+    /** \brief For operators: keys issued before it may have run elsewhere; over all own keys. */
+    milliseconds latest_horizon() const;
+
     const owner& self() const noexcept { return self_; }
 
 private:
@@ -106,6 +109,7 @@
     bool is_first_ever(const epoch_state& state) const noexcept { return state.value.epoch == 1; }
     bool waits_for_earlier_owner(std::size_t index, time_point now) const;
     bool all_handed_over(std::size_t index) const;
+    milliseconds horizon_over(std::size_t count) const;
     start start_of(const epoch_state& state, const owner* before) const;
     std::optional<start> start_for(std::uint64_t key_hash) const;
 
--- a/libs/orders/src/ownership.cpp
+++ b/libs/orders/src/ownership.cpp
@@ -141,13 +141,10 @@
     return !epochs_.empty() && !waits_for_earlier_owner(epochs_.size() - 1, now);
 }
 
-std::optional<milliseconds> ownership::horizon_to_hand_over(time_point now) const {
+milliseconds ownership::horizon_over(std::size_t count) const {
     milliseconds horizon = table_horizon_;
-    for (std::size_t i = 0; i + 1 < epochs_.size(); ++i) {
+    for (std::size_t i = 0; i < count; ++i) {
         const auto& state = epochs_[i];
-        if (waits_for_earlier_owner(i, now)) {
-            return std::nullopt;
-        }
         for (const auto& [from, theirs] : state.handed_over) {
             horizon = std::max(horizon, theirs);
         }
@@ -158,4 +155,18 @@
     return horizon;
 }
 
+milliseconds ownership::latest_horizon() const {
+    return horizon_over(epochs_.size());
+}
+
+std::optional<milliseconds> ownership::horizon_to_hand_over(time_point now) const {
+    const auto earlier = epochs_.empty() ? 0 : epochs_.size() - 1;
+    for (std::size_t i = 0; i < earlier; ++i) {
+        if (waits_for_earlier_owner(i, now)) {
+            return std::nullopt;
+        }
+    }
+    return horizon_over(earlier);
+}
+
 } // namespace lavenderhoist::orders
