--- a/apps/lh_node/main.cpp
+++ b/apps/lh_node/main.cpp
@@ -64,19 +64,14 @@
         return *parsed.exit_with;
     }
     const auto path = parsed.values["settings"].as<std::string>();
-    const auto text = cli::read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return cli::exit_usage;
-    }
-    const auto settings = config::parse_node_settings(*text, path);
-    if (const auto* const issues = std::get_if<std::vector<config::issue>>(&settings)) {
-        cli::print_issues(*issues);
+    const auto settings =
+        cli::read_document<config::node_settings>(path, &config::parse_node_settings);
+    if (!settings) {
         return cli::exit_usage;
     }
     if (parsed.values.contains("check")) {
         std::cout << path << ": settings are valid\n";
         return cli::exit_ok;
     }
-    return run(std::get<config::node_settings>(settings));
+    return run(*settings);
 }
--- a/apps/lh_stub_target/main.cpp
+++ b/apps/lh_stub_target/main.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <iostream>
-
 int main(int argc, char** argv) {
     using namespace lavenderhoist;
     boost::program_options::options_description options("Options");
@@ -18,19 +16,13 @@
         return *parsed.exit_with;
     }
     const auto path = parsed.values["settings"].as<std::string>();
-    const auto text = cli::read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return cli::exit_usage;
-    }
-    const auto settings = standin::parse_target_settings(*text, path);
-    if (const auto* const issues = std::get_if<std::vector<config::issue>>(&settings)) {
-        cli::print_issues(*issues);
+    const auto settings =
+        cli::read_document<standin::target_settings>(path, &standin::parse_target_settings);
+    if (!settings) {
         return cli::exit_usage;
     }
     boost::asio::io_context context(1);
-    standin::stub_target target(context.get_executor(),
-                                std::get<standin::target_settings>(settings));
+    standin::stub_target target(context.get_executor(), *settings);
     target.start();
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& failed, int /*number*/) {
--- a/apps/lhctl/commands.cpp
+++ b/apps/lhctl/commands.cpp
@@ -91,23 +91,13 @@
     return exit_code_of(answered.answer.status);
 }
 
-/** Reads and validates a configuration. \returns nothing after it has told the operator why not. */
-std::optional<std::string> read_configuration(const std::string& path) {
-    const auto text = cli::read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
-    }
-    const auto parsed = config::parse_deployment(*text, path);
-    if (const auto* const issues = std::get_if<std::vector<config::issue>>(&parsed)) {
-        cli::print_issues(*issues);
-        return std::nullopt;
-    }
-    return text;
+/** True if the file holds a valid configuration; else the operator has been told why not. */
+bool is_valid_configuration(const std::string& path) {
+    return cli::read_document<config::deployment>(path, &config::parse_deployment).has_value();
 }
 
 int check(const std::string& path) {
-    if (!read_configuration(path)) {
+    if (!is_valid_configuration(path)) {
         return cli::exit_usage;
     }
     std::cout << path << ": configuration is valid\n";
@@ -120,10 +110,10 @@
             << "--replaces: state the version that this configuration replaces (0 for the first)\n";
         return cli::exit_usage;
     }
-    const auto text = read_configuration(path);
-    if (!text) {
+    if (!is_valid_configuration(path)) {
         return cli::exit_usage;
     }
+    const auto text = cli::read_file(path);
     const json::object body{{"configuration", json::parse(*text)},
                             {"replaces_version", *given.replaces},
                             {"author", given.author},
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -14,7 +14,7 @@
 constexpr float overfill = 1.05F;   // admits slightly more than the capacity, to keep slots full
 constexpr float spare_share = 0.5F; // of the spare capacity is opened in one window
 constexpr float least_opening_share = 0.02F; // of the capacity is opened even when none is spare
-constexpr priority jump = cohorts / 2;             // larger changes take effect at once
+constexpr priority jump = cohorts / 2;       // larger changes take effect at once
 constexpr priority smoothing_divisor = 3;
 constexpr priority idle_step = closed_level / 10; // per window without any arrival
 
--- a/libs/cli/include/lavenderhoist/cli/options.hpp
+++ b/libs/cli/include/lavenderhoist/cli/options.hpp
@@ -10,6 +10,9 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
 
 namespace lavenderhoist::cli {
 
@@ -44,4 +47,25 @@
 /** \brief Prints one line an issue on standard error. */
 void print_issues(std::span<const config::issue> issues);
 
+/**
+ * \brief Reads and parses a file, and tells on standard error what is wrong with it.
+ * \param parse returns a variant of the value and a vector of issues.
+ * \returns the value, or nothing if the file cannot be read or has issues.
+ */
+template <typename Value, typename Parse>
+std::optional<Value> read_document(const std::string& path, Parse&& parse) {
+    const auto text = read_file(path);
+    if (!text) {
+        print_issues(
+            std::vector<config::issue>{{path, "$", "the file cannot be read", "a JSON document"}});
+        return std::nullopt;
+    }
+    auto parsed = std::forward<Parse>(parse)(*text, path);
+    if (const auto* const issues = std::get_if<std::vector<config::issue>>(&parsed)) {
+        print_issues(*issues);
+        return std::nullopt;
+    }
+    return std::get<Value>(std::move(parsed));
+}
+
 } // namespace lavenderhoist::cli
--- a/libs/load/src/generator.cpp
+++ b/libs/load/src/generator.cpp
@@ -1,11 +1,8 @@
 #include "lavenderhoist/load/generator.hpp"
 
 #include "lavenderhoist/core/key.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -71,7 +68,6 @@
 
 asio::awaitable<void> generator::send_stream(unsigned index) {
     const auto& what = plan_.streams[index];
-    net::timer pause(context_);
     auto due = started_;
     std::uint64_t number = 0;
     while (true) {
@@ -87,9 +83,7 @@
             co_return;
         }
         if (due > runtime_clock::now()) {
-            pause.expires_at(due);
-            boost::system::error_code failed;
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+            co_await net::sleep_until(context_.get_executor(), due);
         }
         if (rate > 0) {
             net::spawn(context_, send_one(index, ++number));
--- a/libs/net/src/h2_server.cpp
+++ b/libs/net/src/h2_server.cpp
@@ -2,8 +2,8 @@
 
 #include "lavenderhoist/net/h2_connection.hpp"
 #include "lavenderhoist/net/internal/h2_callbacks.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,6 +18,13 @@
 using asio::redirect_error;
 using asio::use_awaitable;
 
+namespace {
+
+/** Before the next try when accepting has failed: out of descriptors, most likely. */
+constexpr duration accept_pause = std::chrono::milliseconds(10);
+
+} // namespace
+
 struct h2_server::shared_state {
     shared_state(tcp::acceptor opened, std::size_t max_body, handler answer)
         : acceptor(std::move(opened)), max_body_bytes(max_body), handle(std::move(answer)) {}
@@ -115,8 +122,7 @@
             co_return;
         }
         if (failed) {
-            timer pause(acceptor.get_executor(), runtime_clock::now() + milliseconds(10));
-            co_await pause.async_wait(redirect_error(use_awaitable, failed));
+            co_await sleep_for(acceptor.get_executor(), accept_pause);
             continue;
         }
         auto made = std::make_shared<connection>(std::move(accepted), self);
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/net/deadline_guard.hpp"
 #include "lavenderhoist/net/internal/beast_convert.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +29,8 @@
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
 constexpr int status_unavailable = 503;
+/** Before the next try when accepting has failed: out of descriptors, most likely. */
+constexpr duration accept_pause = std::chrono::milliseconds(10);
 constexpr auto fault_write_timeout = std::chrono::seconds(1);
 
 /** One connection of a caller; idle while it waits for the first byte of a request. */
@@ -112,9 +115,7 @@
             co_return;
         }
         if (failed) {
-            // Out of descriptors, most likely: wait, so that the loop does not spin.
-            timer pause(acceptor.get_executor(), runtime_clock::now() + milliseconds(10));
-            co_await pause.async_wait(redirect_error(use_awaitable, failed));
+            co_await sleep_for(acceptor.get_executor(), accept_pause);
             continue;
         }
         accepted.set_option(tcp::no_delay(true), failed);
--- a/libs/node/src/entry_worker.cpp
+++ b/libs/node/src/entry_worker.cpp
@@ -1,13 +1,10 @@
 #include "lavenderhoist/node/entry_worker.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
 #include "lavenderhoist/node/problem.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <random>
 #include <utility>
 
@@ -126,11 +123,8 @@
 }
 
 asio::awaitable<void> entry_worker::housekeeping() {
-    net::timer pause(worker_.executor());
     while (true) {
-        pause.expires_after(housekeeping_interval);
-        boost::system::error_code failed;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        co_await net::sleep_for(worker_.executor(), housekeeping_interval);
         dispatcher_.close_idle_connections();
     }
 }
--- a/libs/node/src/gossip_service.cpp
+++ b/libs/node/src/gossip_service.cpp
@@ -1,10 +1,7 @@
 #include "lavenderhoist/node/gossip_service.hpp"
 
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -39,12 +36,9 @@
       random_(seed) {}
 
 asio::awaitable<void> gossip_service::run() {
-    net::timer pause(executor_);
     while (true) {
         co_await run_once();
-        pause.expires_after(round_interval);
-        boost::system::error_code failed;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        co_await net::sleep_for(executor_, round_interval);
     }
 }
 
--- a/libs/node/src/log_keeper.cpp
+++ b/libs/node/src/log_keeper.cpp
@@ -1,10 +1,7 @@
 #include "lavenderhoist/node/log_keeper.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
-#include "lavenderhoist/net/timer.hpp"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "lavenderhoist/net/sleep.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -33,11 +30,8 @@
       store_(store) {}
 
 asio::awaitable<void> log_keeper::run() {
-    net::timer pause(executor_);
     while (true) {
-        pause.expires_after(check_interval);
-        boost::system::error_code failed;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        co_await net::sleep_for(executor_, check_interval);
         if (!relay_.is_reader() || !follower_.is_available()) {
             continue;
         }
--- a/libs/node/src/order_coordinator.cpp
+++ b/libs/node/src/order_coordinator.cpp
@@ -1,11 +1,9 @@
 #include "lavenderhoist/node/order_coordinator.hpp"
 
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
 #include "lavenderhoist/orders/taker_wait.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -36,12 +34,6 @@
     return {records::kind::assignment, service};
 }
 
-asio::awaitable<void> sleep_for(asio::any_io_executor executor, duration length) {
-    net::timer pause(executor, length);
-    boost::system::error_code failed;
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
-}
-
 } // namespace
 
 order_coordinator::order_coordinator(asio::any_io_executor executor, parts used, orders::owner self)
@@ -119,7 +111,7 @@
     const auto interval = parts_.state.settings.lease / renewals_per_lease;
     while (true) {
         co_await renew_lease();
-        co_await sleep_for(executor_, interval);
+        co_await net::sleep_for(executor_, interval);
     }
 }
 
@@ -297,9 +289,9 @@
 }
 
 asio::awaitable<void> order_coordinator::author_loop() {
-    co_await sleep_for(executor_, joining_time);
+    co_await net::sleep_for(executor_, joining_time);
     while (true) {
-        co_await sleep_for(executor_, author_interval);
+        co_await net::sleep_for(executor_, author_interval);
         if (!service_has_orders()) {
             continue;
         }
@@ -321,7 +313,7 @@
 
 asio::awaitable<void> order_coordinator::hand_over_loop() {
     while (true) {
-        co_await sleep_for(executor_, hand_over_interval);
+        co_await net::sleep_for(executor_, hand_over_interval);
         const auto current = current_assignment(service_);
         if (!current || current->epoch <= handed_over_epoch_ || !service_has_orders()) {
             continue;
--- a/libs/node/src/record_relay.cpp
+++ b/libs/node/src/record_relay.cpp
@@ -1,11 +1,9 @@
 #include "lavenderhoist/node/record_relay.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -115,14 +113,11 @@
 }
 
 asio::awaitable<void> record_relay::run() {
-    net::timer pause(executor_);
     while (true) {
         if (is_reader()) {
             co_await follower_.read_to_tail(read_timeout);
         }
-        pause.expires_after(poll_interval);
-        boost::system::error_code failed;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        co_await net::sleep_for(executor_, poll_interval);
     }
 }
 
--- a/libs/node/src/target_worker.cpp
+++ b/libs/node/src/target_worker.cpp
@@ -1,12 +1,9 @@
 #include "lavenderhoist/node/target_worker.hpp"
 
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/net/timer.hpp"
 #include "lavenderhoist/node/problem.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -246,12 +243,9 @@
 }
 
 asio::awaitable<void> target_worker::tick_loop() {
-    net::timer pause(worker_.executor());
     int ticks = 0;
     while (true) {
-        pause.expires_after(admission::controller::window_length);
-        boost::system::error_code failed;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failed));
+        co_await net::sleep_for(worker_.executor(), admission::controller::window_length);
         apply_configuration();
         if (gate_) {
             gate_->on_window();
