Fill by rank's own wait; open ranks are closed for clear reasons only

Ruled out: the log outage (no no-lease refusals). Change: the wait and the fill are kept per rank; a rank that is open is closed only when its demand exceeds its room by 15%. Digests in gossip have 32 bits.

--- a/apps/lh_bench/bench.hpp
+++ b/apps/lh_bench/bench.hpp
@@ -17,7 +17,8 @@
     std::string binaries; ///< Folder with the programs.
     std::string examples; ///< Folder with the example configurations.
     std::vector<std::uint64_t> seeds{1};
-    std::string only; ///< Name of one scenario; empty: all.
+    bool policy_on_only{false}; ///< Leaves out the runs with the policy off.
+    std::string only;           ///< Name of one scenario; empty: all.
 };
 
 /** \brief One stated bound and what was measured against it. */
--- a/apps/lh_bench/main.cpp
+++ b/apps/lh_bench/main.cpp
@@ -17,7 +17,8 @@
     options.add_options()("what", po::value<std::string>()->required(),
                           "overhead, overload, state, slopes or demo")(
         "only", po::value<std::string>()->default_value(""), "one scenario of the measurement")(
-        "examples", po::value<std::string>()->default_value("examples"), "folder of the examples")(
+        "examples", po::value<std::string>()->default_value("examples"),
+        "folder of the examples")("policy-on-only", "leave out the runs with the policy off")(
         "seeds", po::value<int>()->default_value(1), "number of seeds, from 1 on");
     po::positional_options_description positional;
     positional.add("what", 1);
@@ -29,6 +30,7 @@
     bench::settings with;
     with.binaries = std::filesystem::canonical("/proc/self/exe").parent_path().string();
     with.examples = parsed.values["examples"].as<std::string>();
+    with.policy_on_only = parsed.values.contains("policy-on-only");
     with.only = parsed.values["only"].as<std::string>();
     with.seeds.clear();
     for (int seed = 1; seed <= parsed.values["seeds"].as<int>(); ++seed) {
--- a/apps/lh_bench/overload.cpp
+++ b/apps/lh_bench/overload.cpp
@@ -219,6 +219,9 @@
     };
     for (const auto seed : with.seeds) {
         for (const bool policy : {true, false}) {
+            if (!policy && with.policy_on_only) {
+                continue;
+            }
             for (const double factor : {1.5, 3.0, 10.0}) {
                 if (is_wanted("demand")) {
                     measure_demand(with, seed, policy, factor);
--- a/apps/lh_bench/scenario.cpp
+++ b/apps/lh_bench/scenario.cpp
@@ -160,7 +160,8 @@
 }
 
 double share_good(const load::summary& seen) {
-    return static_cast<double>(seen.good) / static_cast<double>(std::max<std::size_t>(1, seen.sent));
+    return static_cast<double>(seen.good) /
+           static_cast<double>(std::max<std::size_t>(1, seen.sent));
 }
 
 void report_executions(const harness::deployment& where, const std::vector<harness::host*>& hosts,
--- a/libs/admission/include/lavenderhoist/admission/controller.hpp
+++ b/libs/admission/include/lavenderhoist/admission/controller.hpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/admission/request_info.hpp"
 #include "lavenderhoist/admission/wait_queue.hpp"
 
+#include <array>
 #include <unordered_map>
 #include <vector>
 
@@ -73,7 +74,8 @@
     void refuse_surplus(std::vector<decision>& out);
     void note_service_time(duration spent) noexcept;
     duration wanted_wait() const noexcept;
-    float wanted_fill() const noexcept;
+    float wanted_fill(duration longest_wait) const noexcept;
+    void note_wait(const wait_queue::entry& waited, time_point now) noexcept;
     duration expected_wait(std::size_t ahead) const noexcept;
     std::size_t queue_capacity() const noexcept;
     refused make_refusal(std::uint64_t id, errc reason);
@@ -85,7 +87,7 @@
     duration service_time_{0};
     int finished_{0};
     int refused_{0};
-    duration longest_wait_{0};
+    std::array<duration, ranks> longest_waits_{}; // of this window, by rank
 };
 
 } // namespace lavenderhoist::admission
--- a/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
+++ b/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
@@ -22,7 +22,8 @@
         int finished{0}; ///< Requests that left their slots.
         int capacity{0}; ///< Requests that could have left them; 0 if not known.
         bool overloaded{false};
-        float fill{1}; ///< If overloaded: the share of the capacity to admit.
+        /** If overloaded: the share of the capacity that a rank may fill, with those above it. */
+        std::array<float, ranks> fill{};
     };
 
     priority level() const noexcept { return level_; }
@@ -36,8 +37,8 @@
     void estimate_demand() noexcept;
     void estimate_rank(int rank) noexcept;
 
-    /** The level above which the estimated demand is `amount` a window. */
-    priority level_for(float amount) const noexcept;
+    /** The level above which the demand fills `capacity` as far as each rank may. */
+    priority level_for(float capacity, const std::array<float, ranks>& fill) const noexcept;
 
     /** The estimated demand a window above a level. */
     float demand_above(priority level) const noexcept;
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -87,12 +87,17 @@
         service_time_.count() <= 0
             ? 0
             : static_cast<int>(static_cast<double>(limit_.value()) * window_length / service_time_);
-    const bool is_overloaded = refused_ > 0 || longest_wait_ > wanted_wait();
-    levels_.on_window({finished_, capacity, is_overloaded, wanted_fill()});
+    level_estimator::window seen{finished_, capacity, refused_ > 0, {}};
+    // By rank: that reads wait long behind orders is no reason to hold back orders.
+    for (std::size_t rank = 0; rank < longest_waits_.size(); ++rank) {
+        seen.overloaded = seen.overloaded || longest_waits_[rank] > wanted_wait();
+        seen.fill[rank] = wanted_fill(longest_waits_[rank]);
+    }
+    levels_.on_window(seen);
     limit_.on_window();
     finished_ = 0;
     refused_ = 0;
-    longest_wait_ = duration(0);
+    longest_waits_.fill(duration(0));
     refuse_hopeless(now, out);
     start_waiting(now, out);
     return out;
@@ -104,7 +109,7 @@
         if (!next) {
             return;
         }
-        longest_wait_ = std::max(longest_wait_, now - next->since);
+        note_wait(*next, now);
         running_.emplace(next->request.id, running{now});
         out.emplace_back(admitted{next->request.id});
     }
@@ -112,6 +117,7 @@
 
 void controller::refuse_hopeless(time_point now, std::vector<decision>& out) {
     for (const auto& gone : queue_.take_expired(now + service_time_ / 2)) {
+        note_wait(gone, now);
         out.emplace_back(make_refusal(gone.request.id, errc::deadline_passed));
     }
     refuse_surplus(out);
@@ -143,10 +149,16 @@
     return std::max(least_wanted_wait, service_time_ / 2);
 }
 
-float controller::wanted_fill() const noexcept {
+void controller::note_wait(const wait_queue::entry& waited, time_point now) noexcept {
+    const auto rank = std::clamp(rank_of(waited.request.importance), 0, ranks - 1);
+    auto& longest = longest_waits_[static_cast<std::size_t>(rank)];
+    longest = std::max(longest, now - waited.since);
+}
+
+float controller::wanted_fill(duration longest_wait) const noexcept {
     // A short queue keeps the slots full when arrivals fluctuate; a long one only makes callers
     // wait, and work upstream is wasted on what it refuses in the end.
-    const auto excess = static_cast<double>((longest_wait_ - wanted_wait()).count()) /
+    const auto excess = static_cast<double>((longest_wait - wanted_wait()).count()) /
                         static_cast<double>(wanted_wait().count());
     return static_cast<float>(
         std::clamp(most_fill - fill_per_wait * excess, least_fill, most_fill));
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -13,11 +13,15 @@
 constexpr float least_seen_share = 0.1F; // of a rank's cohorts, to extrapolate from
 constexpr float overfill = 1.05F;   // admits slightly more than the capacity, to keep slots full
 constexpr float spare_share = 0.5F; // of the spare capacity is opened in one window
+constexpr float open_rank_margin = 1.15F;
 constexpr float least_opening_share = 0.02F; // of the capacity is opened even when none is spare
 constexpr priority jump = cohorts / 2;       // larger changes take effect at once
 constexpr priority smoothing_divisor = 3;
 constexpr priority idle_step = closed_level / 10; // per window without any arrival
 
+/** Lets every rank fill the capacity. */
+constexpr std::array<float, ranks> whole{1, 1, 1, 1, 1, 1, 1, 1};
+
 /** The share of a rank's cohorts at or above a level. */
 float share_above(int rank, priority level) {
     const int below = std::clamp(level - rank * cohorts, 0, cohorts);
@@ -43,11 +47,11 @@
     } else if (seen.overloaded) {
         // Measured by the capacity, not by what was finished: a level that is too high leaves slots
         // empty and would drive itself up.
-        move_to(std::min(level_for(capacity * seen.fill), closed_level - 1));
+        move_to(std::min(level_for(capacity, seen.fill), closed_level - 1));
     } else if (level_ > open_level) {
         const float spare = capacity - static_cast<float>(seen.finished);
         const float opened = std::max(spare * spare_share, capacity * least_opening_share);
-        level_ = std::min(level_ - 1, level_for(demand_above(level_) + opened));
+        level_ = std::min(level_ - 1, level_for(demand_above(level_) + opened, whole));
     }
     arrivals_.fill(0);
     arrived_ = 0;
@@ -86,15 +90,20 @@
     return total;
 }
 
-priority level_estimator::level_for(float amount) const noexcept {
-    float left = amount;
+priority level_estimator::level_for(float capacity,
+                                    const std::array<float, ranks>& fill) const noexcept {
+    float above = 0;
     for (int rank = ranks - 1; rank >= 0; --rank) {
-        const float demand = demand_[static_cast<std::size_t>(rank)];
-        if (demand > left) {
-            const auto fitting = static_cast<int>(left / demand * cohorts);
+        const auto index = static_cast<std::size_t>(rank);
+        // A rank that is open is closed only for a clear reason: the estimate varies by some per
+        // cent.
+        const float margin = level_ <= rank * cohorts ? open_rank_margin : 1;
+        const float room = std::max(0.0F, capacity * fill[index] * margin - above);
+        if (demand_[index] > room) {
+            const auto fitting = static_cast<int>(room / demand_[index] * cohorts);
             return (rank + 1) * cohorts - fitting;
         }
-        left -= demand;
+        above += demand_[index];
     }
     return open_level;
 }
--- a/libs/membership/src/member_list.cpp
+++ b/libs/membership/src/member_list.cpp
@@ -8,6 +8,7 @@
 namespace lavenderhoist::membership {
 namespace {
 
+constexpr std::uint64_t digest_mask = 0xffff'ffff; // shorter numbers in messages
 constexpr std::size_t changes_per_message = 12;
 constexpr int transmissions_per_doubling = 3; // each change is passed on this often times log2(n)
 
@@ -17,7 +18,7 @@
 
 std::uint64_t fingerprint(const member& info) {
     const auto version = info.incarnation * 4 + static_cast<std::uint64_t>(info.state);
-    return mix(stable_hash(info.id) ^ mix(version));
+    return mix(stable_hash(info.id) ^ mix(version)) & digest_mask;
 }
 
 bool is_present(const member& info) {
