--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -146,7 +146,7 @@
     EXPECT_EQ(std::min(one.status, two.status), 200);
     EXPECT_EQ(std::max(one.status, two.status), 409);
     const auto& loser = one.status == 409 ? one : two;
-    const auto winner = one.status == 200 ? "\"id\":\"one\"" : "\"id\":\"two\"";
+    const std::string winner = one.status == 200 ? "\"id\":\"one\"" : "\"id\":\"two\"";
     EXPECT_NE(loser.body.find(winner), std::string::npos) << loser.body;
     EXPECT_TRUE(
         harness::wait_until([&] { return where->has_converged(2, 5); }, std::chrono::seconds(5)));
