--- a/apps/lh_node/main.cpp
+++ b/apps/lh_node/main.cpp
@@ -2,7 +2,7 @@
 
 #include "lavenderhoist/cli/options.hpp"
 #include "lavenderhoist/config/node_settings.hpp"
-#include "lavenderhoist/node/logging.hpp"
+#include "lavenderhoist/logging.hpp"
 #include "lavenderhoist/node/node.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -40,14 +40,14 @@
 };
 
 int run(const config::node_settings& settings) {
-    node::set_up_logging(settings.log_level, settings.id);
+    logging::set_up(settings.log_level, settings.id);
     try {
         node::node process(settings);
         const signal_watch watch(process);
         process.start();
         process.run_until_drained();
     } catch (const std::exception& failed) {
-        node::log_line(node::severity::error, "node failed", {{"reason", failed.what()}});
+        logging::log_line(logging::severity::error, "node failed", {{"reason", failed.what()}});
         return cli::exit_failed;
     }
     return cli::exit_ok;
--- /dev/null
+++ b/libs/agent/include/lavenderhoist/agent/shared_state.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "lavenderhoist/mesh/directory.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lavenderhoist::agent {
+
+/** \brief What nodes tell each other while one of them can't reach the store. */
+struct shared_state {
+    std::string configuration; ///< As operators wrote it; empty if none is known.
+    std::vector<mesh::placed_record> hosts;
+};
+
+std::string encode(const shared_state& state);
+
+/** \returns nothing if the text is no such state. */
+std::optional<shared_state> decode_shared_state(std::string_view text);
+
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/agent/include/lavenderhoist/agent/store_codec.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "lavenderhoist/agent/store_types.hpp"
+#include "lavenderhoist/core/clock.hpp"
+#include "lavenderhoist/net/exchange_result.hpp"
+
+#include <string_view>
+
+namespace lavenderhoist::agent {
+
+/** \brief The calls of a record store, as requests and answers of HTTP. Holds no state. */
+class store_codec {
+public:
+    store_codec() = default;
+    store_codec(const store_codec&) = delete;
+    store_codec& operator=(const store_codec&) = delete;
+    virtual ~store_codec() = default;
+
+    /** \brief Lists the newest record of each key. \param after the last key of the page before. */
+    virtual net::request list_newest(topic which, std::string_view after) const = 0;
+    virtual read_result parse_newest(const net::exchange_result& answer) const = 0;
+
+    /** \brief Reads from an offset on, waiting up to `wait` for a record. */
+    virtual net::request read(topic which, std::int64_t offset, duration wait) const = 0;
+    virtual read_result parse_read(const net::exchange_result& answer,
+                                   std::int64_t offset) const = 0;
+
+    virtual net::request append(topic which, const store_record& record) const = 0;
+    virtual append_result parse_append(const net::exchange_result& answer) const = 0;
+};
+
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/agent/src/shared_state.cpp
@@ -0,0 +1,36 @@
+#include "lavenderhoist/agent/shared_state.hpp"
+
+#include <boost/json.hpp>
+
+namespace lavenderhoist::agent {
+
+namespace json = boost::json;
+
+std::string encode(const shared_state& state) {
+    json::array hosts;
+    for (const auto& each : state.hosts) {
+        hosts.push_back({{"offset", each.offset}, {"record", mesh::encode(each.record)}});
+    }
+    return json::serialize(
+        json::object{{"configuration", state.configuration}, {"hosts", std::move(hosts)}});
+}
+
+std::optional<shared_state> decode_shared_state(std::string_view text) {
+    try {
+        const auto parsed = json::parse(text);
+        const auto& object = parsed.as_object();
+        shared_state state;
+        state.configuration = object.at("configuration").as_string();
+        for (const auto& each : object.at("hosts").as_array()) {
+            const auto record = mesh::decode_host_record(each.as_object().at("record").as_string());
+            if (record) {
+                state.hosts.push_back({*record, each.as_object().at("offset").as_int64()});
+            }
+        }
+        return state;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/agent/src/sidecar.cpp
@@ -0,0 +1,183 @@
+#include "lavenderhoist/agent/sidecar.hpp"
+
+#include "lavenderhoist/agent/control_worker.hpp"
+#include "lavenderhoist/config/issue.hpp"
+#include "lavenderhoist/logging/log.hpp"
+#include "lavenderhoist/net/sleep.hpp"
+#include "lavenderhoist/net/spawn.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace lavenderhoist::agent {
+
+namespace asio = boost::asio;
+using logging::log_line;
+using logging::severity;
+
+namespace {
+
+/** Callers are sent elsewhere after two questions, a second apart, whether this node is ready;
+ * until then new requests are still served. */
+constexpr duration notice_time = std::chrono::milliseconds(2'600);
+
+/** Without a new request for this long, callers have gone. */
+constexpr duration quiet_time = std::chrono::milliseconds(400);
+
+/** Left of the grace period for the end of the process. */
+constexpr duration end_reserve = std::chrono::milliseconds(400);
+
+constexpr duration stop_poll = std::chrono::milliseconds(50);
+
+/** How often the settings file is compared, since it may change without a signal. */
+constexpr duration settings_interval = std::chrono::seconds(2);
+
+relay::entry_settings entry_settings_of(const agent_settings& settings) {
+    relay::entry_settings result;
+    result.node_id = settings.id;
+    result.data_centre = settings.data_centre;
+    result.service = settings.service;
+    result.target_host = settings.target.host;
+    result.repeat_ratio = settings.repeat_ratio;
+    result.repeat_extra = settings.repeat_extra;
+    result.repeat_window = settings.repeat_window;
+    return result;
+}
+
+net::tcp::endpoint endpoint_of(const config::address& where) {
+    return net::make_endpoint(where.host, where.port);
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+struct sidecar::implementation {
+    implementation(const agent_settings& given, std::string path, const platform_codec& codec)
+        : settings(given),
+          settings_path(std::move(path)),
+          views(std::make_unique<relay::view>()),
+          data(entry_settings_of(settings),
+               {endpoint_of(settings.callers), endpoint_of(settings.calls)}, codec.names(), views),
+          control(context, settings, codec, views, data),
+          signals(context, SIGTERM, SIGINT, SIGHUP),
+          settings_text(read_file(settings_path)) {}
+
+    void wait_for_signal();
+    void check_settings(std::string_view why);
+    asio::awaitable<void> watch_settings();
+    asio::awaitable<void> stop();
+    asio::awaitable<relay::data_status> data_status();
+
+    agent_settings settings;
+    std::string settings_path;
+    asio::io_context context{1};
+    relay::view_cell views;
+    relay::data_worker data;
+    control_worker control;
+    asio::signal_set signals;
+    std::string settings_text;
+    bool stopping{false};
+};
+
+void sidecar::implementation::wait_for_signal() {
+    signals.async_wait([this](const boost::system::error_code& failed, int number) {
+        if (failed) {
+            return;
+        }
+        if (number == SIGHUP) {
+            check_settings("signal");
+        } else if (!std::exchange(stopping, true)) {
+            net::spawn(context, stop());
+        }
+        wait_for_signal();
+    });
+}
+
+void sidecar::implementation::check_settings(std::string_view why) {
+    auto text = read_file(settings_path);
+    if (text == settings_text) {
+        return;
+    }
+    const auto parsed = parse_agent_settings(text, settings_path);
+    settings_text = std::move(text);
+    if (const auto* const issues = std::get_if<std::vector<config::issue>>(&parsed)) {
+        log_line(severity::error, "settings rejected",
+                 {{"why", why}, {"reason", config::describe(issues->front())}});
+        return;
+    }
+    const bool has_changed = std::get<agent_settings>(parsed) != settings;
+    // Addresses and bounds hold for the life of a process: the platform restarts it to change them.
+    log_line(severity::info, "settings read again", {{"why", why}, {"changed", has_changed}});
+}
+
+asio::awaitable<void> sidecar::implementation::watch_settings() {
+    while (!stopping) {
+        co_await net::sleep_for(context.get_executor(), settings_interval);
+        check_settings("file changed");
+    }
+}
+
+asio::awaitable<relay::data_status> sidecar::implementation::data_status() {
+    const auto done = std::make_shared<net::signal>(context.get_executor());
+    const auto result = std::make_shared<relay::data_status>();
+    data.inspect([this, done, result](const relay::data_status& status,
+                                      const metrics::recorder& /*counters*/) {
+        *result = status;
+        asio::post(context, [done] { done->set(); });
+    });
+    co_await done->wait(runtime_clock::now() + stop_poll);
+    co_return *result;
+}
+
+asio::awaitable<void> sidecar::implementation::stop() {
+    const auto began = runtime_clock::now();
+    const auto last = began + settings.grace - end_reserve;
+    log_line(severity::info, "stopping", {{"grace_ms", settings.grace.count()}});
+    control.begin_stop();
+    data.begin_stop();
+    while (runtime_clock::now() < last) {
+        co_await net::sleep_for(context.get_executor(), stop_poll);
+        const auto status = co_await data_status();
+        const bool is_busy = status.requests + status.at_target > 0;
+        if (runtime_clock::now() - began > notice_time && !is_busy &&
+            status.since_arrival > quiet_time) {
+            break;
+        }
+    }
+    data.close_listeners();
+    const auto status = co_await data_status();
+    log_line(severity::info, "stopped",
+             {{"requests_left", status.requests}, {"at_target", status.at_target}});
+    context.stop();
+}
+
+sidecar::sidecar(const agent_settings& settings, std::string settings_path,
+                 const platform_codec& codec)
+    : implementation_(std::make_unique<implementation>(settings, std::move(settings_path), codec)) {
+}
+
+sidecar::~sidecar() = default;
+
+void sidecar::run() {
+    auto& self = *implementation_;
+    self.wait_for_signal();
+    self.data.start();
+    self.control.start();
+    net::spawn(self.context, self.watch_settings());
+    log_line(severity::info, "started",
+             {{"service", self.settings.service}, {"data_centre", self.settings.data_centre}});
+    self.context.run();
+    self.data.stop();
+}
+
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/agent/src/store_client.cpp
@@ -0,0 +1,73 @@
+#include "lavenderhoist/agent/store_client.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace lavenderhoist::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Two waits for records, a write, and room for those that have gone silent. */
+constexpr std::size_t max_connections = 16;
+
+constexpr std::size_t max_answer_bytes = 16U << 20U;
+
+/** For calls that are answered at once; many times the store's usual 4 ms. */
+constexpr duration call_timeout = std::chrono::milliseconds(1'500);
+
+/** Long, since every call has a price; well below the 30 s that the store allows. */
+constexpr duration read_wait = std::chrono::seconds(20);
+
+} // namespace
+
+store_client::store_client(asio::any_io_executor executor, const net::tcp::endpoint& store,
+                           const store_codec& codec)
+    : codec_(codec), http_(std::move(executor), store, {max_connections, max_answer_bytes}) {}
+
+asio::awaitable<net::exchange_result> store_client::exchange(const net::request& message,
+                                                             duration timeout) {
+    ++calls_;
+    co_return co_await http_.exchange(message, runtime_clock::now() + timeout, nullptr);
+}
+
+asio::awaitable<read_result> store_client::list_newest(topic which) {
+    record_batch all;
+    std::string after;
+    bool is_first = true;
+    while (true) {
+        const auto answer = co_await exchange(codec_.list_newest(which, after), call_timeout);
+        auto page = codec_.parse_newest(answer);
+        auto* const batch = std::get_if<record_batch>(&page);
+        if (batch == nullptr) {
+            co_return page;
+        }
+        // Pages are not a snapshot: what is written meanwhile is read from the first page's end.
+        if (std::exchange(is_first, false)) {
+            all.next_offset = batch->next_offset;
+        }
+        const bool has_more = batch->has_more && !batch->records.empty();
+        if (has_more) {
+            after = batch->records.back().key;
+        }
+        all.records.insert(all.records.end(), std::make_move_iterator(batch->records.begin()),
+                           std::make_move_iterator(batch->records.end()));
+        if (!has_more) {
+            co_return all;
+        }
+    }
+}
+
+asio::awaitable<read_result> store_client::read(topic which, std::int64_t offset) {
+    const auto answer =
+        co_await exchange(codec_.read(which, offset, read_wait), read_wait + call_timeout);
+    co_return codec_.parse_read(answer, offset);
+}
+
+asio::awaitable<append_result> store_client::append(topic which, const store_record& record) {
+    const auto answer = co_await exchange(codec_.append(which, record), call_timeout);
+    co_return codec_.parse_append(answer);
+}
+
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/agent/src/topic_follower.cpp
@@ -0,0 +1,101 @@
+#include "lavenderhoist/agent/topic_follower.hpp"
+
+#include "lavenderhoist/net/sleep.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration first_pause = std::chrono::milliseconds(50);
+constexpr duration longest_pause = std::chrono::milliseconds(800);
+
+/** Changes come in series; reading them together saves calls. */
+constexpr duration gather_time = std::chrono::milliseconds(80);
+
+} // namespace
+
+topic_follower::topic_follower(asio::any_io_executor executor, store_client& store, topic which,
+                               events handlers)
+    : executor_(std::move(executor)),
+      store_(store),
+      which_(which),
+      handlers_(std::move(handlers)),
+      random_(std::random_device()()) {}
+
+asio::awaitable<void> topic_follower::run() {
+    while (true) {
+        if (listed_) {
+            co_await follow();
+        } else {
+            co_await list();
+        }
+    }
+}
+
+asio::awaitable<void> topic_follower::list() {
+    const auto result = co_await store_.list_newest(which_);
+    const auto* const batch = std::get_if<record_batch>(&result);
+    if (batch == nullptr) {
+        const auto* const failed = std::get_if<store_failure>(&result);
+        co_await after_failure(failed == nullptr ? store_failure{"unexpected answer"} : *failed);
+        co_return;
+    }
+    note_answer();
+    next_offset_ = batch->next_offset;
+    listed_ = true;
+    for (const auto& record : batch->records) {
+        handlers_.on_record(record);
+    }
+    handlers_.on_current();
+}
+
+asio::awaitable<void> topic_follower::follow() {
+    const auto result = co_await store_.read(which_, next_offset_);
+    if (std::holds_alternative<records_expired>(result)) {
+        note_answer();
+        listed_ = false;
+        co_return;
+    }
+    const auto* const batch = std::get_if<record_batch>(&result);
+    if (batch == nullptr) {
+        co_await after_failure(std::get<store_failure>(result));
+        co_return;
+    }
+    note_answer();
+    next_offset_ = batch->next_offset;
+    for (const auto& record : batch->records) {
+        handlers_.on_record(record);
+    }
+    if (!batch->records.empty()) {
+        handlers_.on_current();
+        co_await net::sleep_for(executor_, gather_time);
+    }
+}
+
+void topic_follower::note_answer() {
+    failures_ = 0;
+    if (std::exchange(lost_, false)) {
+        handlers_.on_regained();
+    }
+}
+
+asio::awaitable<void> topic_follower::after_failure(const store_failure& failed) {
+    if (!std::exchange(lost_, true)) {
+        handlers_.on_lost(failed.reason);
+    }
+    // While the store was away records may have come and expired.
+    constexpr int most_doublings = 4;
+    const auto pause =
+        std::min(longest_pause, first_pause * (1 << std::min(failures_, most_doublings)));
+    ++failures_;
+    std::uniform_real_distribution<double> spread(0.5, 1.0);
+    co_await net::sleep_for(executor_,
+                            std::chrono::duration_cast<duration>(pause * spread(random_)));
+}
+
+} // namespace lavenderhoist::agent
--- a/libs/config/include/lavenderhoist/config/internal/object_reader.hpp
+++ b/libs/config/include/lavenderhoist/config/internal/object_reader.hpp
@@ -22,6 +22,13 @@
     std::optional<std::int64_t> fallback; ///< Absent: the document must state the value.
 };
 
+/** \brief The range a number may take, and its value when the document leaves it out. */
+struct number_rule {
+    double min{0};
+    double max{0};
+    std::optional<double> fallback; ///< Absent: the document must state the value.
+};
+
 /**
  * \brief Reads the members of one JSON object and reports each fault with its path.
  *
@@ -33,6 +40,7 @@
                   std::vector<issue>& issues);
 
     std::int64_t integer(std::string_view name, const integer_rule& rule);
+    double number(std::string_view name, const number_rule& rule);
     std::string string(std::string_view name, std::optional<std::string> fallback = std::nullopt);
     std::string one_of(std::string_view name, const std::vector<std::string>& values,
                        const std::string& fallback);
--- a/libs/config/src/object_reader.cpp
+++ b/libs/config/src/object_reader.cpp
@@ -57,6 +57,25 @@
     return *number;
 }
 
+double object_reader::number(std::string_view name, const number_rule& rule) {
+    const auto permitted =
+        "a number from " + std::to_string(rule.min) + " to " + std::to_string(rule.max);
+    const auto* value = find(name);
+    if (value == nullptr) {
+        if (!rule.fallback) {
+            report(name, "missing", permitted);
+        }
+        return rule.fallback.value_or(rule.min);
+    }
+    boost::system::error_code failed;
+    const double given = value->is_number() ? value->to_number<double>(failed) : rule.min - 1;
+    if (failed || given < rule.min || given > rule.max) {
+        report(name, shown(*value), permitted);
+        return rule.min;
+    }
+    return given;
+}
+
 std::string object_reader::string(std::string_view name, std::optional<std::string> fallback) {
     const auto* value = find(name);
     if (value == nullptr) {
--- /dev/null
+++ b/libs/logging/include/lavenderhoist/logging.hpp
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "lavenderhoist/logging/line_budget.hpp"
+#include "lavenderhoist/logging/log.hpp"
--- /dev/null
+++ b/libs/mesh/include/lavenderhoist/mesh/service_rules.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace lavenderhoist::mesh {
+
+/** \brief What operators say about one service. */
+struct service_rules {
+    std::string name;
+    int max_connections{1}; ///< Connections that each target accepts, from all callers together.
+};
+
+} // namespace lavenderhoist::mesh
--- /dev/null
+++ b/libs/mesh/src/repeat_budget.cpp
@@ -0,0 +1,41 @@
+#include "lavenderhoist/mesh/repeat_budget.hpp"
+
+namespace lavenderhoist::mesh {
+
+std::int64_t repeat_budget::number_of(time_point now, const limits& bounds) const {
+    return now.time_since_epoch() / (bounds.window / static_cast<int>(parts));
+}
+
+repeat_budget::part& repeat_budget::part_at(time_point now, const limits& bounds) {
+    const auto number = number_of(now, bounds);
+    auto& found = parts_[static_cast<std::size_t>(number) % parts_.size()];
+    if (found.number != number) {
+        found = {number, 0, 0};
+    }
+    return found;
+}
+
+void repeat_budget::on_request(time_point now, const limits& bounds) {
+    ++part_at(now, bounds).requests;
+}
+
+bool repeat_budget::take(time_point now, const limits& bounds) {
+    auto& present = part_at(now, bounds);
+    const auto oldest = present.number - static_cast<std::int64_t>(parts);
+    int requests = 0;
+    int repeats = 0;
+    for (const auto& each : parts_) {
+        if (each.number < oldest) {
+            continue;
+        }
+        requests += each.requests;
+        repeats += each.repeats;
+    }
+    if (repeats + 1 > bounds.ratio * requests + bounds.extra) {
+        return false;
+    }
+    ++present.repeats;
+    return true;
+}
+
+} // namespace lavenderhoist::mesh
--- /dev/null
+++ b/libs/mesh/src/routing_table.cpp
@@ -0,0 +1,46 @@
+#include "lavenderhoist/mesh/routing_table.hpp"
+
+#include <utility>
+
+namespace lavenderhoist::mesh {
+
+routing_table::routing_table(std::uint64_t version, caller_limits limits, std::vector<route> routes,
+                             std::vector<service_rules> services)
+    : version_(version),
+      limits_(limits),
+      routes_(std::move(routes)),
+      services_(std::move(services)) {
+    for (const auto& entry : routes_) {
+        by_host_[entry.host].emplace(entry.prefix, &entry);
+    }
+    for (const auto& entry : services_) {
+        by_service_.emplace(entry.name, &entry);
+    }
+}
+
+const route* routing_table::find(std::string_view host, std::string_view path) const {
+    const auto prefixes = by_host_.find(host);
+    if (prefixes == by_host_.end()) {
+        return nullptr;
+    }
+    path = path.substr(0, path.find('?'));
+    // Every prefix ends with a slash, so only these beginnings of the path can be one.
+    for (auto end = path.rfind('/'); end != std::string_view::npos;
+         end = path.rfind('/', end - 1)) {
+        const auto found = prefixes->second.find(path.substr(0, end + 1));
+        if (found != prefixes->second.end()) {
+            return found->second;
+        }
+        if (end == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const service_rules* routing_table::find_service(std::string_view name) const {
+    const auto found = by_service_.find(name);
+    return found == by_service_.end() ? nullptr : found->second;
+}
+
+} // namespace lavenderhoist::mesh
--- a/libs/net/include/lavenderhoist/net/h2_client.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_client.hpp
@@ -5,7 +5,8 @@
 #include "lavenderhoist/net/h2_connection.hpp"
 #include "lavenderhoist/net/signal.hpp"
 
-#include <map>
+#include <functional>
+#include <unordered_map>
 
 namespace lavenderhoist::net {
 
@@ -22,12 +23,26 @@
 
     h2_client(tcp::socket socket, std::size_t max_body_bytes);
 
+    using done_handler = std::function<void(exchange_result)>;
+
+    /**
+     * \brief Sends a request on a new stream.
+     * \param done is called once, with the whole answer or an error, unless cancel() comes before;
+     * `never_processed` is set if the peer proved that it did not process the request
+     * (REFUSED_STREAM, or above the last stream of its GOAWAY).
+     * \returns the stream's number for cancel(); negative if no stream could be opened: `done` is
+     * not called then and nothing was sent.
+     */
+    std::int32_t submit(const request& message, done_handler done);
+
+    /** \brief Resets a stream whose answer is no longer wanted; its handler is not called. */
+    void cancel(std::int32_t id);
+
     /**
      * \brief Sends a request on a new stream and waits for the whole response.
      *
      * At the deadline, or when cancelled, the stream is reset, so that the peer stops its work.
-     * \returns the answer, or an error; `never_processed` if the peer proved that it did not
-     * process the request (REFUSED_STREAM, or above the last stream of its GOAWAY).
+     * \returns as the handler of submit() gets it.
      */
     boost::asio::awaitable<exchange_result> exchange(const request& message, time_point deadline,
                                                      cancellation_ptr cancelled);
@@ -42,9 +57,9 @@
     void on_closed() override;
 
 private:
-    struct pending;
+    void finish(std::int32_t id, exchange_result result);
 
-    std::map<std::int32_t, std::shared_ptr<pending>> pending_;
+    std::unordered_map<std::int32_t, done_handler> pending_;
     bool peer_is_leaving_{false};
 };
 
--- a/libs/net/include/lavenderhoist/net/h2_connection.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_connection.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "lavenderhoist/net/endpoint.hpp"
+#include "lavenderhoist/net/byte_stream.hpp"
 #include "lavenderhoist/net/internal/nghttp2_ptr.hpp"
 #include "lavenderhoist/net/message.hpp"
 
-#include <array>
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -18,23 +18,25 @@
  * Streams are whole messages; a stream whose message exceeds the body limit is reset.
  * Not thread-safe; lives on one executor, kept alive by its read loop.
  */
-class h2_connection : public std::enable_shared_from_this<h2_connection> {
+class h2_connection : public byte_stream {
 public:
     h2_connection(tcp::socket socket, std::size_t max_body_bytes);
-    h2_connection(const h2_connection&) = delete;
-    h2_connection& operator=(const h2_connection&) = delete;
-    virtual ~h2_connection();
+    ~h2_connection() override;
 
-    /** \brief Closes the socket; every open stream ends with an error. */
-    void close();
+    /** \brief Begins to read and sends the preface; call once the object is shared. */
+    void start();
 
-    bool is_open() const noexcept { return open_; }
+    /** \brief Closes the socket; every open stream ends with an error. */
+    void shut_down();
 
     /** \brief Streams that have begun and not ended. */
     std::size_t open_streams() const noexcept { return streams_.size(); }
 
     /** \brief When something was last received or sent. */
-    time_point last_activity() const noexcept { return last_activity_; }
+    time_point last_activity() const noexcept { return std::max(last_received(), last_sent_); }
+
+    /** \brief Asks the peer for a sign of life, which last_received() shows. */
+    void ping();
 
 protected:
     /** \brief One message in each direction. */
@@ -42,6 +44,7 @@
         int status{0};
         std::string method;
         std::string path;
+        std::string host;
         headers fields;
         std::string body; ///< Received so far.
         std::string outgoing_body;
@@ -56,10 +59,7 @@
     /** \brief Sets nghttp2's session; called once by the constructors of the ends. */
     void adopt(internal::nghttp2_session_ptr session);
 
-    /** \brief Reads until the connection ends. Started once by the ends. */
-    static boost::asio::awaitable<void> read_loop(std::shared_ptr<h2_connection> self);
-
-    /** \brief Sends what nghttp2 has to send, unless a send is under way already. */
+    /** \brief Sends what nghttp2 has to send, once the present event is handled. */
     void flush();
 
     /** \brief The peer has sent a whole message on this stream. */
@@ -77,17 +77,18 @@
     friend struct internal::h2_callbacks;
 
 private:
-    static boost::asio::awaitable<void> write_loop(std::shared_ptr<h2_connection> self);
+    void on_bytes(std::string_view bytes) override;
+    void on_end(std::error_code failed) override;
+    void on_writable() override { write_pending(); }
+    void write_pending();
     void end_all_streams();
 
-    tcp::socket socket_;
     internal::nghttp2_session_ptr session_;
     std::unordered_map<std::int32_t, stream> streams_;
     std::size_t max_body_bytes_;
     std::string write_buffer_;
-    time_point last_activity_;
-    bool writing_{false};
-    bool open_{true};
+    time_point last_sent_;
+    bool write_posted_{false};
 };
 
 } // namespace lavenderhoist::net
--- a/libs/net/include/lavenderhoist/net/h2_server.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_server.hpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/net/cancellation.hpp"
 #include "lavenderhoist/net/endpoint.hpp"
+#include "lavenderhoist/net/h2_call.hpp"
 #include "lavenderhoist/net/message.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +19,12 @@
     using handler = std::function<boost::asio::awaitable<response>(request message,
                                                                    cancellation_ptr cancelled)>;
 
+    /** \brief Takes one request, to be answered through `call`, which may be kept. */
+    using call_handler = std::function<void(request message, h2_call_ptr call)>;
+
+    h2_server(tcp::acceptor acceptor, std::size_t max_body_bytes, call_handler handle);
+
+    /** \brief Runs a coroutine for each request. */
     h2_server(tcp::acceptor acceptor, std::size_t max_body_bytes, handler handle);
     h2_server(const h2_server&) = delete;
     h2_server& operator=(const h2_server&) = delete;
--- /dev/null
+++ b/libs/net/include/lavenderhoist/net/http_session.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "lavenderhoist/net/byte_stream.hpp"
+#include "lavenderhoist/net/http_limits.hpp"
+#include "lavenderhoist/net/message.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lavenderhoist::net {
+
+/**
+ * \brief The server end of one HTTP/1.1 connection, without coroutines: one request at a time.
+ *
+ * Malformed, oversized and slow requests are answered with a 4xx status and the connection is
+ * closed, without the handler seeing them.
+ */
+class http_session final : public byte_stream {
+public:
+    /** \brief What the owner of the session does about its events. */
+    struct events {
+        /** A whole request has arrived; to be answered by answer() or abort(). */
+        std::function<void(const std::shared_ptr<http_session>&, request)> on_request;
+        /** The caller has gone; a request that it waited for is no longer wanted. */
+        std::function<void(const std::shared_ptr<http_session>&)> on_gone;
+        /** A request was rejected with this status before it was whole. */
+        std::function<void(int status, std::string_view reason)> on_rejected;
+    };
+
+    /** \param bounds may change while the session lives. */
+    http_session(tcp::socket socket, std::shared_ptr<const http_limits> bounds,
+                 std::shared_ptr<const events> handlers);
+    ~http_session() override;
+
+    void start() { start_reading(); }
+
+    /**
+     * \brief Answers the present request. Precondition: is_busy().
+     * \param keep false to close the connection once the answer is written.
+     */
+    void answer(const response& message, bool keep);
+
+    /** \brief Closes the connection without an answer. */
+    void abort();
+
+    /** \brief True while a request waits for its answer. */
+    bool is_busy() const noexcept { return busy_; }
+
+    /** \brief True if part of a request has arrived. */
+    bool is_receiving() const noexcept;
+
+    /** \brief Address of the caller. */
+    const tcp::endpoint& peer() const noexcept { return peer_; }
+
+    /** \brief Enforces the time limits; to be called every now and then. */
+    void check_time(time_point now);
+
+    /** \brief Closes the connection if it waits for a request. */
+    void close_if_idle();
+
+private:
+    struct reading;
+
+    void on_bytes(std::string_view bytes) override;
+    void on_end(std::error_code failed) override;
+    void parse();
+    void finish_request();
+    void reject(int status, std::string_view reason);
+    std::shared_ptr<http_session> self();
+
+    std::shared_ptr<const http_limits> bounds_;
+    std::shared_ptr<const events> handlers_;
+    tcp::endpoint peer_;
+    std::string buffer_;
+    std::unique_ptr<reading> reading_;
+    time_point since_; ///< When the present state began: idle, receiving or busy.
+    bool busy_{false};
+    bool wants_more_{true};
+    bool closing_{false};
+};
+
+} // namespace lavenderhoist::net
--- a/libs/net/include/lavenderhoist/net/internal/beast_convert.hpp
+++ b/libs/net/include/lavenderhoist/net/internal/beast_convert.hpp
@@ -15,6 +15,11 @@
 
 beast_request to_beast(const request& message, const std::string& host);
 beast_response to_beast(const response& message, bool keep_alive);
+
+/** \brief The bytes of a whole message. */
+std::string serialize(const beast_request& message);
+std::string serialize(const beast_response& message);
+
 request from_beast(beast_request&& message);
 response from_beast(beast_response&& message);
 
--- a/libs/net/include/lavenderhoist/net/message.hpp
+++ b/libs/net/include/lavenderhoist/net/message.hpp
@@ -12,6 +12,7 @@
     std::string path;
     headers fields;
     std::string body;
+    std::string host{}; ///< As the caller named it; empty where it plays no part.
 };
 
 /** \brief A whole response. */
--- a/libs/net/src/beast_convert.cpp
+++ b/libs/net/src/beast_convert.cpp
@@ -1,6 +1,8 @@
 #include "lavenderhoist/net/internal/beast_convert.hpp"
 
 #include <boost/algorithm/string/case_conv.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include <utility>
 
@@ -21,8 +23,34 @@
     }
 }
 
+template <bool IsRequest>
+std::string serialize_message(const http::message<IsRequest, http::string_body>& message) {
+    std::string out;
+    http::serializer<IsRequest, http::string_body> source(message);
+    boost::system::error_code failed;
+    while (!source.is_done() && !failed) {
+        source.next(failed, [&](boost::system::error_code& /*failed*/, const auto& buffers) {
+            std::size_t count = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                out.append(static_cast<const char*>(buffer.data()), buffer.size());
+                count += buffer.size();
+            }
+            source.consume(count);
+        });
+    }
+    return out;
+}
+
 } // namespace
 
+std::string serialize(const beast_request& message) {
+    return serialize_message(message);
+}
+
+std::string serialize(const beast_response& message) {
+    return serialize_message(message);
+}
+
 headers fields_of(const http::fields& source) {
     headers result;
     for (const auto& field : source) {
--- /dev/null
+++ b/libs/net/src/byte_stream.cpp
@@ -0,0 +1,148 @@
+#include "lavenderhoist/net/byte_stream.hpp"
+
+#include <array>
+#include <utility>
+
+namespace lavenderhoist::net {
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 64U << 10U;
+
+/** Reads of one readiness, so that a fast peer doesn't hold back the other connections. */
+constexpr int reads_per_turn = 4;
+
+/** One buffer a thread: bytes are handed on before the next read. */
+std::array<char, read_buffer_bytes>& read_buffer() {
+    thread_local std::array<char, read_buffer_bytes> buffer{};
+    return buffer;
+}
+
+bool would_block(const boost::system::error_code& failed) {
+    return failed == boost::asio::error::would_block || failed == boost::asio::error::try_again;
+}
+
+} // namespace
+
+byte_stream::byte_stream(tcp::socket socket)
+    : socket_(std::move(socket)), last_received_(runtime_clock::now()) {
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+}
+
+void byte_stream::start_reading() {
+    wait_readable();
+}
+
+void byte_stream::wait_readable() {
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& failed) {
+                           if (!failed && self->open_) {
+                               self->read_ready();
+                           }
+                       });
+}
+
+void byte_stream::read_ready() {
+    auto& buffer = read_buffer();
+    for (int i = 0; i < reads_per_turn; ++i) {
+        boost::system::error_code failed;
+        const auto count = socket_.read_some(boost::asio::buffer(buffer), failed);
+        if (would_block(failed)) {
+            break;
+        }
+        if (failed) {
+            end(failed == boost::asio::error::eof ? std::error_code() : std::error_code(failed));
+            return;
+        }
+        last_received_ = runtime_clock::now();
+        on_bytes({buffer.data(), count});
+        if (!open_) {
+            return;
+        }
+        if (count < buffer.size()) {
+            break;
+        }
+    }
+    wait_readable();
+}
+
+void byte_stream::send(std::string_view bytes) {
+    if (!open_) {
+        return;
+    }
+    if (outgoing_.empty()) {
+        boost::system::error_code failed;
+        const auto count =
+            socket_.write_some(boost::asio::buffer(bytes.data(), bytes.size()), failed);
+        if (failed && !would_block(failed)) {
+            // Reported from the event loop: the caller of send() may hold state that on_end() ends.
+            boost::asio::post(socket_.get_executor(),
+                              [self = shared_from_this(), failed] { self->end(failed); });
+            return;
+        }
+        bytes.remove_prefix(failed ? 0 : count);
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    outgoing_ += bytes;
+    wait_writable();
+}
+
+void byte_stream::wait_writable() {
+    if (std::exchange(waiting_writable_, true)) {
+        return;
+    }
+    socket_.async_wait(tcp::socket::wait_write,
+                       [self = shared_from_this()](const boost::system::error_code& failed) {
+                           self->waiting_writable_ = false;
+                           if (!failed && self->open_) {
+                               self->write_ready();
+                           }
+                       });
+}
+
+void byte_stream::write_ready() {
+    boost::system::error_code failed;
+    const auto count = socket_.write_some(boost::asio::buffer(outgoing_), failed);
+    if (failed && !would_block(failed)) {
+        end(failed);
+        return;
+    }
+    outgoing_.erase(0, failed ? 0 : count);
+    if (!outgoing_.empty()) {
+        wait_writable();
+        return;
+    }
+    if (closing_) {
+        close();
+        return;
+    }
+    on_writable();
+}
+
+void byte_stream::close_after_writing() {
+    closing_ = true;
+    if (outgoing_.empty()) {
+        close();
+    }
+}
+
+void byte_stream::close() {
+    if (!std::exchange(open_, false)) {
+        return;
+    }
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void byte_stream::end(std::error_code failed) {
+    if (!open_) {
+        return;
+    }
+    close();
+    on_end(failed);
+}
+
+} // namespace lavenderhoist::net
--- a/libs/net/src/h2_callbacks.cpp
+++ b/libs/net/src/h2_callbacks.cpp
@@ -57,6 +57,8 @@
         target->method = text;
     } else if (field == ":path") {
         target->path = text;
+    } else if (field == ":authority") {
+        target->host = text;
     } else if (!field.starts_with(':')) {
         target->fields.push_back({std::string(field), std::string(text)});
     }
--- a/libs/net/src/h2_client.cpp
+++ b/libs/net/src/h2_client.cpp
@@ -6,7 +6,9 @@
 #include "lavenderhoist/net/internal/h2_callbacks.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 
+#include <optional>
 #include <utility>
+#include <vector>
 
 namespace lavenderhoist::net {
 
@@ -14,15 +16,6 @@
 using asio::redirect_error;
 using asio::use_awaitable;
 
-/** A request that waits for its response. */
-struct h2_client::pending {
-    explicit pending(const asio::any_io_executor& executor) : done(executor) {}
-
-    signal done;
-    exchange_result result;
-    bool answered{false};
-};
-
 asio::awaitable<std::shared_ptr<h2_client>> h2_client::connect(asio::any_io_executor executor,
                                                                tcp::endpoint peer,
                                                                std::size_t max_body_bytes,
@@ -37,8 +30,7 @@
         co_return nullptr;
     }
     auto made = std::make_shared<h2_client>(std::move(socket), max_body_bytes);
-    spawn(executor, read_loop(made));
-    made->flush();
+    made->start();
     co_return made;
 }
 
@@ -47,19 +39,13 @@
     adopt(internal::make_session(*this, false));
 }
 
-asio::awaitable<exchange_result> h2_client::exchange(const request& message, time_point deadline,
-                                                     cancellation_ptr cancelled) {
-    const auto self = shared_from_this();
-    const auto executor = co_await asio::this_coro::executor;
-    exchange_result result;
-    if (!is_usable() || (cancelled && cancelled->is_cancelled())) {
-        result.code = is_usable() ? errc::cancelled : errc::peer_lost;
-        result.never_processed = true;
-        co_return result;
+std::int32_t h2_client::submit(const request& message, done_handler done) {
+    if (!is_usable()) {
+        return -1;
     }
     headers fields{{":method", message.method},
                    {":scheme", "http"},
-                   {":authority", "node"},
+                   {":authority", message.host.empty() ? "node" : message.host},
                    {":path", message.path}};
     fields.insert(fields.end(), message.fields.begin(), message.fields.end());
     const auto encoded = internal::to_nghttp2(fields);
@@ -67,67 +53,92 @@
     const auto id = nghttp2_submit_request(session(), nullptr, encoded.data(), encoded.size(),
                                            message.body.empty() ? nullptr : &provider, nullptr);
     if (id < 0) {
-        result.code = errc::peer_lost;
-        result.never_processed = true;
-        co_return result;
+        return id;
     }
     add_stream(id).outgoing_body = message.body;
-    const auto waiting = std::make_shared<pending>(executor);
-    pending_[id] = waiting;
+    pending_.emplace(id, std::move(done));
     flush();
+    return id;
+}
 
+void h2_client::cancel(std::int32_t id) {
+    if (pending_.erase(id) == 0 || !is_open()) {
+        return;
+    }
+    nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    flush();
+}
+
+asio::awaitable<exchange_result> h2_client::exchange(const request& message, time_point deadline,
+                                                     cancellation_ptr cancelled) {
+    const auto self = shared_from_this();
+    exchange_result result;
+    if (cancelled && cancelled->is_cancelled()) {
+        result.code = errc::cancelled;
+        result.never_processed = true;
+        co_return result;
+    }
+    const auto done = std::make_shared<signal>(co_await asio::this_coro::executor);
+    const auto received = std::make_shared<std::optional<exchange_result>>();
+    const auto id = submit(message, [done, received](exchange_result answer) {
+        *received = std::move(answer);
+        done->set();
+    });
+    if (id < 0) {
+        result.code = errc::peer_lost;
+        result.never_processed = true;
+        co_return result;
+    }
     if (!cancelled) {
         cancelled = std::make_shared<cancellation>();
     }
     {
-        const cancel_scope scope(*cancelled, [waiting] { waiting->done.set(); });
-        co_await waiting->done.wait(deadline);
-    }
-    pending_.erase(id);
-    if (waiting->answered || waiting->result.code) {
-        co_return std::move(waiting->result);
+        const cancel_scope scope(*cancelled, [done] { done->set(); });
+        co_await done->wait(deadline);
     }
-    if (is_open()) {
-        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
-        flush();
+    if (*received) {
+        co_return std::move(**received);
     }
+    cancel(id);
     result.code = cancelled->is_cancelled() ? errc::cancelled : errc::deadline_passed;
     co_return result;
 }
 
-void h2_client::on_message(std::int32_t id, stream& finished) {
-    const auto found = pending_.find(id);
-    if (found == pending_.end()) {
-        return;
+void h2_client::finish(std::int32_t id, exchange_result result) {
+    auto waiting = pending_.extract(id);
+    if (!waiting.empty()) {
+        waiting.mapped()(std::move(result));
     }
-    auto& waiting = *found->second;
-    waiting.answered = true;
-    waiting.result.answer.status = finished.status;
-    waiting.result.answer.fields = std::move(finished.fields);
-    waiting.result.answer.body = std::move(finished.body);
-    waiting.done.set();
+}
+
+void h2_client::on_message(std::int32_t id, stream& finished) {
+    exchange_result result;
+    result.answer.status = finished.status;
+    result.answer.fields = std::move(finished.fields);
+    result.answer.body = std::move(finished.body);
+    finish(id, std::move(result));
 }
 
 void h2_client::on_stream_end(std::int32_t id, stream& /*ended*/, std::uint32_t error_code) {
-    const auto found = pending_.find(id);
-    if (found == pending_.end() || found->second->answered) {
-        return;
-    }
-    auto& waiting = *found->second;
-    waiting.result.code = errc::peer_lost;
-    waiting.result.never_processed = error_code == NGHTTP2_REFUSED_STREAM;
-    waiting.done.set();
+    exchange_result result;
+    result.code = errc::peer_lost;
+    result.never_processed = error_code == NGHTTP2_REFUSED_STREAM;
+    finish(id, std::move(result));
 }
 
 void h2_client::on_goaway(std::int32_t last_stream_id) {
     peer_is_leaving_ = true;
-    for (const auto& [id, waiting] : pending_) {
-        if (id <= last_stream_id || waiting->answered) {
-            continue;
+    std::vector<std::int32_t> unprocessed;
+    for (const auto& [id, done] : pending_) {
+        if (id > last_stream_id) {
+            unprocessed.push_back(id);
         }
-        waiting->result.code = errc::peer_lost;
-        waiting->result.never_processed = true;
-        waiting->done.set();
+    }
+    for (const auto id : unprocessed) {
+        exchange_result result;
+        result.code = errc::peer_lost;
+        result.never_processed = true;
+        finish(id, std::move(result));
     }
 }
 
--- a/libs/net/src/h2_connection.cpp
+++ b/libs/net/src/h2_connection.cpp
@@ -1,34 +1,25 @@
 #include "lavenderhoist/net/h2_connection.hpp"
 
 #include "lavenderhoist/net/internal/h2_callbacks.hpp"
-#include "lavenderhoist/net/spawn.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <utility>
 
 namespace lavenderhoist::net {
 
 namespace asio = boost::asio;
-using asio::redirect_error;
-using asio::use_awaitable;
 
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 16U << 10U;
 constexpr std::size_t write_batch_bytes = 64U << 10U;
 
 } // namespace
 
 h2_connection::h2_connection(tcp::socket socket, std::size_t max_body_bytes)
-    : socket_(std::move(socket)),
+    : byte_stream(std::move(socket)),
       max_body_bytes_(max_body_bytes),
-      last_activity_(runtime_clock::now()) {
-    boost::system::error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-}
+      last_sent_(runtime_clock::now()) {}
 
 h2_connection::~h2_connection() = default;
 
@@ -36,65 +27,64 @@
     session_ = std::move(session);
 }
 
+void h2_connection::start() {
+    start_reading();
+    flush();
+}
+
 h2_connection::stream* h2_connection::find_stream(std::int32_t id) {
     const auto found = streams_.find(id);
     return found == streams_.end() ? nullptr : &found->second;
 }
 
-asio::awaitable<void> h2_connection::read_loop(std::shared_ptr<h2_connection> self) {
-    std::vector<std::uint8_t> buffer(read_buffer_bytes);
-    boost::system::error_code failed;
-    while (self->open_) {
-        const auto count = co_await self->socket_.async_read_some(
-            asio::buffer(buffer), redirect_error(use_awaitable, failed));
-        if (failed || !self->open_) {
-            break;
-        }
-        self->last_activity_ = runtime_clock::now();
-        const auto taken = nghttp2_session_mem_recv(self->session(), buffer.data(), count);
-        if (taken < 0) {
-            break;
-        }
-        self->flush();
-        if (nghttp2_session_want_read(self->session()) == 0 &&
-            nghttp2_session_want_write(self->session()) == 0) {
-            break;
-        }
+void h2_connection::on_bytes(std::string_view bytes) {
+    const auto taken = nghttp2_session_mem_recv(
+        session(), reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    if (taken < 0) {
+        shut_down();
+        return;
     }
-    self->close();
+    flush();
+}
+
+void h2_connection::ping() {
+    nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
+    flush();
 }
 
 void h2_connection::flush() {
-    if (writing_ || !open_) {
+    if (!is_open() || std::exchange(write_posted_, true)) {
         return;
     }
-    writing_ = true;
-    spawn(socket_.get_executor(), write_loop(shared_from_this()));
+    asio::post(socket().get_executor(),
+               [self = std::static_pointer_cast<h2_connection>(shared_from_this())] {
+                   self->write_posted_ = false;
+                   self->write_pending();
+               });
 }
 
-asio::awaitable<void> h2_connection::write_loop(std::shared_ptr<h2_connection> self) {
-    auto& buffer = self->write_buffer_;
-    boost::system::error_code failed;
-    while (self->open_ && !failed) {
-        buffer.clear();
-        while (buffer.size() < write_batch_bytes) {
+void h2_connection::write_pending() {
+    while (is_open() && unsent() == 0) {
+        write_buffer_.clear();
+        while (write_buffer_.size() < write_batch_bytes) {
             const std::uint8_t* data = nullptr;
-            const auto count = nghttp2_session_mem_send(self->session(), &data);
+            const auto count = nghttp2_session_mem_send(session(), &data);
             if (count <= 0) {
                 break;
             }
-            buffer.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(count));
+            write_buffer_.append(reinterpret_cast<const char*>(data),
+                                 static_cast<std::size_t>(count));
         }
-        if (buffer.empty()) {
+        if (write_buffer_.empty()) {
             break;
         }
-        self->last_activity_ = runtime_clock::now();
-        co_await asio::async_write(self->socket_, asio::buffer(buffer),
-                                   redirect_error(use_awaitable, failed));
+        last_sent_ = runtime_clock::now();
+        send(write_buffer_);
     }
-    self->writing_ = false;
-    if (failed) {
-        self->close();
+    const bool is_finished =
+        nghttp2_session_want_read(session()) == 0 && nghttp2_session_want_write(session()) == 0;
+    if (is_open() && unsent() == 0 && is_finished) {
+        shut_down();
     }
 }
 
@@ -106,12 +96,16 @@
     }
 }
 
-void h2_connection::close() {
-    if (!std::exchange(open_, false)) {
+void h2_connection::shut_down() {
+    if (!is_open()) {
         return;
     }
-    boost::system::error_code ignored;
-    socket_.close(ignored);
+    close();
+    end_all_streams();
+    on_closed();
+}
+
+void h2_connection::on_end(std::error_code /*failed*/) {
     end_all_streams();
     on_closed();
 }
--- a/libs/net/src/h2_pool.cpp
+++ b/libs/net/src/h2_pool.cpp
@@ -76,7 +76,7 @@
         return std::ranges::find(closing, entry.second) != closing.end();
     });
     for (const auto& client : closing) {
-        client->close();
+        client->shut_down();
     }
 }
 
--- a/libs/net/src/h2_server.cpp
+++ b/libs/net/src/h2_server.cpp
@@ -8,8 +8,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace lavenderhoist::net {
@@ -26,14 +26,14 @@
 } // namespace
 
 struct h2_server::shared_state {
-    shared_state(tcp::acceptor opened, std::size_t max_body, handler answer)
+    shared_state(tcp::acceptor opened, std::size_t max_body, call_handler answer)
         : acceptor(std::move(opened)), max_body_bytes(max_body), handle(std::move(answer)) {}
 
     static asio::awaitable<void> accept_loop(std::shared_ptr<shared_state> self);
 
     tcp::acceptor acceptor;
     std::size_t max_body_bytes;
-    handler handle;
+    call_handler handle;
     std::set<std::shared_ptr<connection>> connections;
     std::size_t in_flight{0};
     bool draining{false};
@@ -47,11 +47,6 @@
         adopt(internal::make_session(*this, true));
     }
 
-    void start(const asio::any_io_executor& executor) {
-        spawn(executor, read_loop(shared_from_this()));
-        flush();
-    }
-
     void drain() {
         const auto last = nghttp2_session_get_last_proc_stream_id(session());
         nghttp2_submit_goaway(session(), NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
@@ -63,22 +58,21 @@
         request message;
         message.method = std::move(finished.method);
         message.path = std::move(finished.path);
+        message.host = std::move(finished.host);
         message.fields = std::move(finished.fields);
         message.body = std::move(finished.body);
-        const auto cancelled = std::make_shared<cancellation>();
-        running_[id] = cancelled;
-        const auto self = std::static_pointer_cast<connection>(shared_from_this());
-        spawn(owner_->acceptor.get_executor(), answer(self, id, std::move(message), cancelled));
+        auto received =
+            std::make_shared<call>(std::static_pointer_cast<connection>(shared_from_this()), id);
+        running_.emplace(id, received);
+        ++owner_->in_flight;
+        owner_->handle(std::move(message), std::move(received));
     }
 
     void on_stream_end(std::int32_t id, stream& /*ended*/, std::uint32_t /*error_code*/) override {
-        const auto found = running_.find(id);
-        if (found == running_.end()) {
-            return;
+        const auto found = running_.extract(id);
+        if (const auto ended = found.empty() ? nullptr : found.mapped().lock()) {
+            ended->cancel();
         }
-        const auto cancelled = found->second;
-        running_.erase(found);
-        cancelled->cancel();
     }
 
     void on_closed() override {
@@ -86,30 +80,49 @@
     }
 
 private:
-    // A static function, so that the frame holds the connection and not just a pointer to it.
-    static asio::awaitable<void> answer(std::shared_ptr<connection> self, std::int32_t id,
-                                        request message, cancellation_ptr cancelled) {
-        const auto owner = self->owner_;
-        ++owner->in_flight;
-        const auto answer = co_await owner->handle(std::move(message), cancelled);
-        --owner->in_flight;
-        self->running_.erase(id);
-        auto* const target = self->find_stream(id);
-        if (target == nullptr || !self->is_open()) {
-            co_return;
+    /** A request of this connection. */
+    class call final : public h2_call {
+    public:
+        call(std::shared_ptr<connection> owner, std::int32_t id)
+            : owner_(std::move(owner)), id_(id) {}
+        call(const call&) = delete;
+        call& operator=(const call&) = delete;
+        ~call() override { --owner_->owner_->in_flight; }
+
+        void answer(const response& message) override {
+            gone_ = nullptr;
+            owner_->answer(id_, message);
+        }
+
+        void cancel() {
+            if (const auto gone = std::exchange(gone_, nullptr)) {
+                gone();
+            }
+        }
+
+    private:
+        std::shared_ptr<connection> owner_;
+        std::int32_t id_;
+    };
+
+    void answer(std::int32_t id, const response& message) {
+        running_.erase(id);
+        auto* const target = find_stream(id);
+        if (target == nullptr || !is_open()) {
+            return;
         }
-        target->outgoing_body = answer.body;
-        headers fields{{":status", std::to_string(answer.status)}};
-        fields.insert(fields.end(), answer.fields.begin(), answer.fields.end());
+        target->outgoing_body = message.body;
+        headers fields{{":status", std::to_string(message.status)}};
+        fields.insert(fields.end(), message.fields.begin(), message.fields.end());
         const auto encoded = internal::to_nghttp2(fields);
         const auto provider = internal::body_provider();
-        nghttp2_submit_response(self->session(), id, encoded.data(), encoded.size(),
-                                answer.body.empty() ? nullptr : &provider);
-        self->flush();
+        nghttp2_submit_response(session(), id, encoded.data(), encoded.size(),
+                                message.body.empty() ? nullptr : &provider);
+        flush();
     }
 
     std::shared_ptr<shared_state> owner_;
-    std::map<std::int32_t, cancellation_ptr> running_;
+    std::unordered_map<std::int32_t, std::weak_ptr<call>> running_;
 };
 
 asio::awaitable<void> h2_server::shared_state::accept_loop(std::shared_ptr<shared_state> self) {
@@ -127,17 +140,36 @@
         }
         auto made = std::make_shared<connection>(std::move(accepted), self);
         self->connections.insert(made);
-        made->start(acceptor.get_executor());
+        made->start();
         if (self->draining) {
             made->drain();
         }
     }
 }
 
-h2_server::h2_server(tcp::acceptor acceptor, std::size_t max_body_bytes, handler handle)
+namespace {
+
+asio::awaitable<void> run_handler(h2_server::handler handle, request message, h2_call_ptr call,
+                                  cancellation_ptr cancelled) {
+    call->answer(co_await handle(std::move(message), std::move(cancelled)));
+}
+
+} // namespace
+
+h2_server::h2_server(tcp::acceptor acceptor, std::size_t max_body_bytes, call_handler handle)
     : state_(
           std::make_shared<shared_state>(std::move(acceptor), max_body_bytes, std::move(handle))) {}
 
+h2_server::h2_server(tcp::acceptor acceptor, std::size_t max_body_bytes, handler handle)
+    : h2_server(std::move(acceptor), max_body_bytes, call_handler()) {
+    const auto executor = state_->acceptor.get_executor();
+    state_->handle = [executor, handle = std::move(handle)](request message, h2_call_ptr call) {
+        const auto cancelled = std::make_shared<cancellation>();
+        call->on_cancelled([cancelled] { cancelled->cancel(); });
+        spawn(executor, run_handler(handle, std::move(message), std::move(call), cancelled));
+    };
+}
+
 h2_server::~h2_server() {
     close();
 }
@@ -158,7 +190,7 @@
     state_->acceptor.close(ignored);
     const auto connections = state_->connections;
     for (const auto& open : connections) {
-        open->close();
+        open->shut_down();
     }
 }
 
--- /dev/null
+++ b/libs/net/src/http_link.cpp
@@ -0,0 +1,168 @@
+#include "lavenderhoist/net/http_link.hpp"
+
+#include "lavenderhoist/core/error.hpp"
+#include "lavenderhoist/net/internal/beast_convert.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace lavenderhoist::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Answers to nobody that are skipped before the connection is given up. */
+constexpr int max_strays = 2;
+
+constexpr std::uint32_t max_header_bytes = 64U << 10U;
+
+/** The `timeout` parameter of a Keep-Alive field (RFC 2068 section 19.7.1.1). */
+std::optional<duration> keep_alive_timeout(std::string_view value) {
+    constexpr std::string_view name = "timeout=";
+    const auto at = value.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    value.remove_prefix(at + name.size());
+    int seconds = 0;
+    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), seconds);
+    if (parsed.ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+/** The answer that is being received. */
+struct http_link::reading {
+    http::response_parser<http::string_body> parser;
+};
+
+http_link::http_link(tcp::socket socket, std::size_t max_body_bytes)
+    : byte_stream(std::move(socket)),
+      max_body_bytes_(max_body_bytes),
+      idle_since_(runtime_clock::now()) {}
+
+http_link::~http_link() = default;
+
+void http_link::start(lost_handler lost) {
+    lost_ = std::move(lost);
+    start_reading();
+}
+
+void http_link::exchange(const request& message, const echo& expected, done_handler done) {
+    expected_ = expected;
+    done_ = std::move(done);
+    strays_ = 0;
+    is_head_ = message.method == "HEAD";
+    send(internal::serialize(internal::to_beast(message, message.host)));
+}
+
+void http_link::give_up() {
+    done_ = nullptr;
+    lose();
+}
+
+void http_link::lose() {
+    close();
+    if (const auto lost = std::exchange(lost_, nullptr)) {
+        lost(*this);
+    }
+}
+
+void http_link::on_bytes(std::string_view bytes) {
+    if (!done_) {
+        lose(); // an answer to nobody
+        return;
+    }
+    buffer_ += bytes;
+    parse();
+}
+
+void http_link::parse() {
+    while (done_ && !buffer_.empty()) {
+        if (!reading_) {
+            reading_ = std::make_unique<reading>();
+            reading_->parser.eager(true);
+            reading_->parser.header_limit(max_header_bytes);
+            reading_->parser.body_limit(max_body_bytes_);
+            reading_->parser.skip(is_head_);
+        }
+        auto& parser = reading_->parser;
+        std::size_t used = 0;
+        boost::system::error_code failed;
+        while (!parser.is_done() && used < buffer_.size() && !failed) {
+            used += parser.put(boost::asio::buffer(buffer_.data() + used, buffer_.size() - used),
+                               failed);
+        }
+        buffer_.erase(0, used);
+        if (failed && failed != http::error::need_more) {
+            fail(errc::bad_answer);
+            return;
+        }
+        if (!parser.is_done()) {
+            return;
+        }
+        finish_answer();
+    }
+}
+
+void http_link::finish_answer() {
+    const auto whole = std::exchange(reading_, nullptr);
+    const auto& parsed = whole->parser.get();
+    constexpr unsigned first_final_status = 200;
+    if (parsed.result_int() < first_final_status) {
+        return;
+    }
+    const bool keeps = parsed.keep_alive() && unsent() == 0;
+    if (parsed[expected_.field] != expected_.value) {
+        if (++strays_ > max_strays || !keeps) {
+            fail(errc::bad_answer);
+        }
+        return;
+    }
+    idle_limit_ = keep_alive_timeout(std::string_view(parsed[http::field::keep_alive]));
+    exchange_result result;
+    result.answer = internal::from_beast(whole->parser.release());
+    idle_since_ = runtime_clock::now();
+    const auto done = std::exchange(done_, nullptr);
+    const auto self = shared_from_this();
+    // Bytes after the answer belong to nobody, and what is unsent would be taken for a request.
+    if (!keeps || !buffer_.empty()) {
+        lose();
+    }
+    done(std::move(result));
+}
+
+void http_link::on_end(std::error_code failed) {
+    if (!done_) {
+        lose();
+        return;
+    }
+    if (reading_ && !failed) {
+        boost::system::error_code cut;
+        reading_->parser.put_eof(cut);
+        if (!cut && reading_->parser.is_done()) {
+            finish_answer();
+        }
+    }
+    if (done_) {
+        fail(reading_ ? errc::bad_answer : errc::target_lost);
+    }
+}
+
+void http_link::fail(std::error_code cause) {
+    const auto self = shared_from_this();
+    const auto done = std::exchange(done_, nullptr);
+    lose();
+    exchange_result result;
+    result.code = cause;
+    done(std::move(result));
+}
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/net/src/http_session.cpp
@@ -0,0 +1,189 @@
+#include "lavenderhoist/net/http_session.hpp"
+
+#include "lavenderhoist/net/internal/beast_convert.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <utility>
+
+namespace lavenderhoist::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_header_too_large = 431;
+
+/** How long a rejected caller may go on sending: closing at once could destroy the answer. */
+constexpr duration reject_linger = std::chrono::seconds(1);
+
+/** Pipelined bytes kept while a request is being answered. */
+constexpr std::size_t max_pipelined_bytes = 256U << 10U;
+
+int status_of(const boost::system::error_code& failed) {
+    if (failed == http::error::body_limit) {
+        return status_too_large;
+    }
+    return failed == http::error::header_limit ? status_header_too_large : status_bad_request;
+}
+
+} // namespace
+
+/** The request that is being received. */
+struct http_session::reading {
+    http::request_parser<http::string_body> parser;
+    bool told_to_continue{false};
+};
+
+http_session::http_session(tcp::socket socket, std::shared_ptr<const http_limits> bounds,
+                           std::shared_ptr<const events> handlers)
+    : byte_stream(std::move(socket)),
+      bounds_(std::move(bounds)),
+      handlers_(std::move(handlers)),
+      since_(runtime_clock::now()) {
+    boost::system::error_code ignored;
+    peer_ = this->socket().remote_endpoint(ignored);
+}
+
+http_session::~http_session() = default;
+
+std::shared_ptr<http_session> http_session::self() {
+    return std::static_pointer_cast<http_session>(shared_from_this());
+}
+
+bool http_session::is_receiving() const noexcept {
+    return reading_ != nullptr;
+}
+
+void http_session::on_bytes(std::string_view bytes) {
+    if (closing_) {
+        return;
+    }
+    buffer_ += bytes;
+    if (!busy_) {
+        parse();
+    } else if (buffer_.size() > max_pipelined_bytes) {
+        abort();
+        handlers_->on_gone(self());
+    }
+}
+
+void http_session::parse() {
+    if (buffer_.empty()) {
+        return;
+    }
+    if (!reading_) {
+        reading_ = std::make_unique<reading>();
+        reading_->parser.eager(true);
+        reading_->parser.header_limit(static_cast<std::uint32_t>(bounds_->max_header_bytes));
+        reading_->parser.body_limit(bounds_->max_body_bytes);
+        since_ = runtime_clock::now();
+    }
+    auto& parser = reading_->parser;
+    std::size_t used = 0;
+    boost::system::error_code failed;
+    while (!parser.is_done() && used < buffer_.size() && !failed) {
+        used +=
+            parser.put(boost::asio::buffer(buffer_.data() + used, buffer_.size() - used), failed);
+    }
+    buffer_.erase(0, used);
+    if (failed && failed != http::error::need_more) {
+        reject(status_of(failed), failed.message());
+        return;
+    }
+    if (parser.is_done()) {
+        finish_request();
+        return;
+    }
+    const bool expects = parser.is_header_done() && !reading_->told_to_continue &&
+                         parser.get()[http::field::expect] == "100-continue";
+    if (expects) {
+        reading_->told_to_continue = true;
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void http_session::finish_request() {
+    const auto whole = std::exchange(reading_, nullptr);
+    auto& parsed = whole->parser.get();
+    wants_more_ = parsed.keep_alive();
+    parsed.erase(http::field::expect);
+    const std::string host(parsed[http::field::host]);
+    auto message = internal::from_beast(whole->parser.release());
+    message.host = host;
+    busy_ = true;
+    since_ = runtime_clock::now();
+    handlers_->on_request(self(), std::move(message));
+}
+
+void http_session::answer(const response& message, bool keep) {
+    if (!is_open()) {
+        return;
+    }
+    busy_ = false;
+    since_ = runtime_clock::now();
+    keep = keep && wants_more_;
+    send(internal::serialize(internal::to_beast(message, keep)));
+    if (!keep) {
+        closing_ = true;
+        close_after_writing();
+        return;
+    }
+    parse();
+}
+
+void http_session::abort() {
+    busy_ = false;
+    close();
+}
+
+void http_session::reject(int status, std::string_view reason) {
+    reading_.reset();
+    closing_ = true;
+    since_ = runtime_clock::now();
+    handlers_->on_rejected(status, reason);
+    response message;
+    message.status = status;
+    send(internal::serialize(internal::to_beast(message, false)));
+    boost::system::error_code ignored;
+    socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void http_session::on_end(std::error_code /*failed*/) {
+    handlers_->on_gone(self());
+}
+
+void http_session::check_time(time_point now) {
+    if (!is_open()) {
+        return;
+    }
+    if (closing_) {
+        if (now - since_ > reject_linger && unsent() == 0) {
+            close();
+            handlers_->on_gone(self());
+        }
+        return;
+    }
+    if (reading_ && now - since_ > bounds_->header_timeout) {
+        reject(status_timeout, "request not complete in time");
+        return;
+    }
+    const bool is_idle = !busy_ && !reading_;
+    if (is_idle && now - since_ > bounds_->idle_timeout) {
+        close();
+        handlers_->on_gone(self());
+    }
+}
+
+void http_session::close_if_idle() {
+    if (is_open() && !busy_ && !reading_ && unsent() == 0) {
+        close();
+        handlers_->on_gone(self());
+    }
+}
+
+} // namespace lavenderhoist::net
--- a/libs/node/src/control_worker.cpp
+++ b/libs/node/src/control_worker.cpp
@@ -1,9 +1,9 @@
 #include "lavenderhoist/node/control_worker.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
+#include "lavenderhoist/logging.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 #include "lavenderhoist/node/call_codec.hpp"
-#include "lavenderhoist/node/logging.hpp"
 
 #include <boost/json.hpp>
 
@@ -185,8 +185,8 @@
 
 asio::awaitable<void> control_worker::tell_poison(std::vector<std::uint64_t> suspects,
                                                   std::vector<std::uint64_t> quarantined) {
-    log_line(severity::warning, "target died",
-             {{"suspects", suspects.size()}, {"quarantined", quarantined.size()}});
+    logging::log_line(logging::severity::warning, "target died",
+                      {{"suspects", suspects.size()}, {"quarantined", quarantined.size()}});
     const auto& own_target = gossip_.members().self().target;
     const auto service = own_target ? own_target->service : std::string();
     json::object object;
@@ -209,9 +209,9 @@
                                        announced->draining || state_.draining.load()};
         orders_.on_service(announced->service);
     }
-    log_line(severity::info, announced ? "target announced" : "target withdrawn",
-             {{"service", announced ? announced->service : std::string()},
-              {"draining", announced && announced->draining}});
+    logging::log_line(logging::severity::info, announced ? "target announced" : "target withdrawn",
+                      {{"service", announced ? announced->service : std::string()},
+                       {"draining", announced && announced->draining}});
     gossip_.members().update_self(info);
     publish_view();
     gossip_.spread();
@@ -223,10 +223,11 @@
         if (auto* const deployment = std::get_if<config::deployment>(&parsed)) {
             config_ = std::make_shared<const config::deployment>(std::move(*deployment));
             config_version_ = fresh.content.version;
-            log_line(severity::info, "configuration in force", {{"version", config_version_}});
+            logging::log_line(logging::severity::info, "configuration in force",
+                              {{"version", config_version_}});
         } else {
-            log_line(severity::error, "configuration on the log is invalid",
-                     {{"version", fresh.content.version}});
+            logging::log_line(logging::severity::error, "configuration on the log is invalid",
+                              {{"version", fresh.content.version}});
         }
     }
     orders_.on_record(fresh);
@@ -247,9 +248,9 @@
     }
     clock_fault_ = is_faulty;
     orders_.set_clock_fault(is_faulty);
-    log_line(is_faulty ? severity::error : severity::info,
-             is_faulty ? "clock out of bound, orders stop" : "clock within bound",
-             {{"peer", peer}, {"difference_ms", difference.count()}});
+    logging::log_line(is_faulty ? logging::severity::error : logging::severity::info,
+                      is_faulty ? "clock out of bound, orders stop" : "clock within bound",
+                      {{"peer", peer}, {"difference_ms", difference.count()}});
 }
 
 void control_worker::publish_view() {
--- a/libs/node/src/control_worker_admin.cpp
+++ b/libs/node/src/control_worker_admin.cpp
@@ -1,7 +1,7 @@
 // What the operators' API shows and does.
 
+#include "lavenderhoist/logging.hpp"
 #include "lavenderhoist/node/control_worker.hpp"
-#include "lavenderhoist/node/logging.hpp"
 
 #include <boost/json.hpp>
 
@@ -229,8 +229,8 @@
         return next;
     };
     const auto result = co_await publisher_.publish(configuration_topic, write);
-    log_line(
-        severity::info, "configuration published",
+    logging::log_line(
+        logging::severity::info, "configuration published",
         {{"author", author_name}, {"id", record_id}, {"result", static_cast<int>(result.how)}});
     co_return describe_publication(result);
 }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -1,7 +1,7 @@
 #include "lavenderhoist/node/node.hpp"
 
+#include "lavenderhoist/logging.hpp"
 #include "lavenderhoist/net/timer.hpp"
-#include "lavenderhoist/node/logging.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -52,7 +52,7 @@
     }
     target_->start();
     control_->start();
-    log_line(severity::info, "node started", {{"started_ms", self_.process}});
+    logging::log_line(logging::severity::info, "node started", {{"started_ms", self_.process}});
 }
 
 void node::request_drain() {
@@ -70,7 +70,7 @@
 }
 
 void node::drain() {
-    log_line(severity::info, "draining");
+    logging::log_line(logging::severity::info, "draining");
     state_.draining = true;
     control_->announce_drain();
     for (const auto& entry : entries_) {
@@ -88,7 +88,7 @@
     }
     control_->announce_departure();
     wait_for(departure_notice);
-    log_line(severity::info, "drained");
+    logging::log_line(logging::severity::info, "drained");
 }
 
 bool node::is_idle() {
--- /dev/null
+++ b/libs/relay/include/lavenderhoist/relay/stream_codec.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "lavenderhoist/net/exchange_result.hpp"
+#include "lavenderhoist/relay/relay_answer.hpp"
+#include "lavenderhoist/relay/relay_request.hpp"
+
+#include <optional>
+
+namespace lavenderhoist::relay {
+
+/** \brief A request as a stream between nodes carries it. Its own fields begin with `lh-`. */
+net::request to_stream(const relay_request& request, time_point now);
+
+/** \returns nothing if the stream's own fields are missing or malformed. */
+std::optional<relay_request> from_stream(net::request message, time_point now);
+
+net::response to_stream(const relay_answer& answer);
+
+/** \brief Reads what came of a stream. \param peer named in failures of the stream itself. */
+relay_answer from_stream(net::exchange_result result, const std::string& peer);
+
+} // namespace lavenderhoist::relay
--- /dev/null
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "lavenderhoist/admission/controller.hpp"
+#include "lavenderhoist/net/deadline_queue.hpp"
+#include "lavenderhoist/net/http_link.hpp"
+#include "lavenderhoist/relay/relay_answer.hpp"
+#include "lavenderhoist/relay/relay_request.hpp"
+#include "lavenderhoist/relay/target_settings.hpp"
+#include "lavenderhoist/relay/wire_names.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lavenderhoist::relay {
+
+/**
+ * \brief The way to the target beside this node: admission, connections, and the proof of what ran.
+ *
+ * Not thread-safe; lives on one executor.
+ */
+class target_port {
+public:
+    using done_handler = std::function<void(relay_answer)>;
+    /** \brief Names a request for cancel(). */
+    using ticket = std::uint64_t;
+
+    /** \brief Counters for metrics. */
+    struct totals {
+        std::uint64_t sent{0};
+        std::uint64_t refused{0};
+        std::uint64_t connections{0};
+    };
+
+    target_port(boost::asio::any_io_executor executor, const wire_names& names, std::string node_id,
+                net::deadline_queue& deadlines);
+    target_port(const target_port&) = delete;
+    target_port& operator=(const target_port&) = delete;
+    ~target_port();
+
+    /** \brief Takes over what is known of the target. Requests that wait are refused if it takes no
+     * work any more; those at work go on. */
+    void set_target(const std::optional<target_settings>& target);
+
+    /** \brief Hands over a request; `done` is called once, possibly at once, unless cancelled. */
+    ticket submit(relay_request request, done_handler done);
+
+    /** \brief The caller of a request has gone: it does not start, and is broken off if it may be
+     * repeated. Its handler is not called. */
+    void cancel(ticket which);
+
+    /** \brief To be called every admission window. */
+    void on_window();
+
+    /** \brief Closes connections that the target is about to close. */
+    void close_idle();
+
+    load_report load() const;
+    std::size_t in_flight() const noexcept { return jobs_.size(); }
+    const totals& counted() const noexcept { return totals_; }
+    std::size_t open_connections() const noexcept { return links_.size(); }
+
+private:
+    struct job;
+    using job_ptr = std::shared_ptr<job>;
+    using link_ptr = std::shared_ptr<net::http_link>;
+
+    void apply(const std::vector<admission::decision>& decisions);
+    void start(const job_ptr& job);
+    void connect(const job_ptr& job);
+    void send(const job_ptr& job, const link_ptr& link);
+    void on_answer(const job_ptr& job, net::exchange_result result);
+    void on_deadline(const job_ptr& job);
+    relay_answer interpret(const job& job, net::exchange_result result) const;
+    net::request make_message(const job& job) const;
+    link_ptr take_idle_link();
+    void finish(const job_ptr& job, relay_answer answer, admission::finish how);
+    void refuse(ticket which, errc cause, duration retry_after);
+    void refuse_waiting(errc cause);
+    void forget_links();
+
+    boost::asio::any_io_executor executor_;
+    const wire_names& names_;
+    std::string node_id_;
+    net::deadline_queue& deadlines_;
+    std::optional<target_settings> target_;
+    std::unique_ptr<admission::controller> controller_;
+    std::unordered_map<ticket, job_ptr> jobs_;
+    std::unordered_map<net::http_link*, link_ptr> links_;
+    std::vector<link_ptr> idle_; ///< The one used last is at the back.
+    ticket last_ticket_{0};
+    time_point down_until_{};
+    totals totals_;
+};
+
+} // namespace lavenderhoist::relay
--- /dev/null
+++ b/libs/relay/src/entry.cpp
@@ -0,0 +1,486 @@
+#include "lavenderhoist/relay/entry.hpp"
+
+#include "lavenderhoist/core/hash.hpp"
+#include "lavenderhoist/logging/log.hpp"
+#include "lavenderhoist/relay/attempt_plan.hpp"
+#include "lavenderhoist/relay/known_target.hpp"
+#include "lavenderhoist/retry/retry_after.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace lavenderhoist::relay {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+/** After the deadline the target's node still has to pass on the answer that came just in time. */
+constexpr duration answer_grace = std::chrono::milliseconds(80);
+
+/** When callers come back to a node that has no configuration yet. */
+constexpr duration no_configuration_wait = std::chrono::milliseconds(300);
+
+/** When callers come back if no target takes their request and no node has named a time. */
+constexpr duration refusal_wait = std::chrono::milliseconds(250);
+
+/** Callers come back within this part of the time they have left. */
+constexpr int return_divisor = 3;
+
+/** Share of the allowed repeats that is used: calls below a repeat count as repeats as well. */
+constexpr double repeat_share = 0.5;
+
+/** Log lines a second: enough to explain single requests, bounded under load. */
+constexpr double failure_lines_per_second = 10;
+constexpr double success_lines_per_second = 0.5;
+
+std::optional<duration> parse_ms(std::string_view text) {
+    std::int64_t value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+double in_ms(duration length) {
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+std::string in_seconds(duration length) {
+    std::array<char, 32> text{};
+    const auto count = std::snprintf(text.data(), text.size(), "%.3f",
+                                     std::chrono::duration<double>(length).count());
+    return {text.data(), static_cast<std::size_t>(count)};
+}
+
+std::uint64_t random_seed() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+/** A request that has entered here and is not answered yet. */
+struct entry::pending {
+    std::shared_ptr<net::http_session> session;
+    mesh::routing_table_ptr table; ///< Keeps the route alive.
+    const mesh::route* route{nullptr};
+    relay_request request;
+    attempt_plan plan{1, false};
+    std::vector<known_target_ptr> tried;
+    known_target_ptr sent_to; ///< Of the try under way.
+    std::uint64_t tries{0};   ///< Tells the try under way from earlier ones.
+    std::function<void()> cancel;
+    std::optional<net::deadline_queue::ticket> deadline;
+    time_point began;
+    relay_answer last_failure;
+    bool finished{false};
+};
+
+/** A service as this entry knows it. */
+struct entry::known_service {
+    std::vector<known_target_ptr> targets;
+    mesh::repeat_budget budget;
+};
+
+entry::entry(const entry_settings& settings, const wire_names& names, const view_cell& views,
+             target_port& own_target, peer_links& peers, net::deadline_queue& deadlines,
+             metrics::recorder& counters)
+    : settings_(settings),
+      names_(names),
+      views_(views),
+      own_target_(own_target),
+      peers_(peers),
+      deadlines_(deadlines),
+      counters_(counters),
+      random_(random_seed()),
+      placement_(random_seed()),
+      failure_lines_(failure_lines_per_second),
+      success_lines_(success_lines_per_second) {}
+
+entry::~entry() = default;
+
+void entry::refresh() {
+    bool is_new = false;
+    views_.read([&](const view& present) {
+        if (present.generation == generation_) {
+            return;
+        }
+        generation_ = present.generation;
+        table_ = present.table;
+        is_new = present.hosts != hosts_;
+        hosts_ = present.hosts;
+    });
+    if (is_new) {
+        rebuild_targets();
+    }
+}
+
+mesh::distance entry::distance_to(const mesh::host_record& record) const {
+    if (record.id == settings_.node_id) {
+        return mesh::distance::own_host;
+    }
+    return record.data_centre == settings_.data_centre ? mesh::distance::own_data_centre
+                                                       : mesh::distance::elsewhere;
+}
+
+void entry::rebuild_targets() {
+    std::unordered_map<std::string, std::vector<known_target_ptr>> next;
+    for (const auto& record : *hosts_) {
+        if (record.service.empty()) {
+            continue;
+        }
+        const auto& known = services_[record.service].targets;
+        const auto same = std::ranges::find_if(known, [&record](const known_target_ptr& each) {
+            const auto& old = each->record();
+            return old.id == record.id && old.calls == record.calls &&
+                   old.target_id == record.target_id &&
+                   old.target_born_ms == record.target_born_ms &&
+                   old.node_stopping == record.node_stopping;
+        });
+        auto kept = same == known.end()
+                        ? std::make_shared<known_target>(record, distance_to(record))
+                        : *same;
+        kept->update(record);
+        next[record.service].push_back(std::move(kept));
+    }
+    for (auto& [name, service] : services_) {
+        service.targets = std::move(next[name]);
+    }
+}
+
+const mesh::caller_limits* entry::limits() {
+    refresh();
+    return table_ ? &table_->limits() : nullptr;
+}
+
+mesh::repeat_budget::limits entry::budget_limits() const {
+    const auto nodes = std::max<std::size_t>(1, hosts_ ? hosts_->size() : 1);
+    return {settings_.repeat_ratio * repeat_share,
+            settings_.repeat_extra * repeat_share / static_cast<double>(nodes),
+            settings_.repeat_window};
+}
+
+bool entry::take_repeat(const std::string& service) {
+    return services_[service].budget.take(runtime_clock::now(), budget_limits());
+}
+
+const std::string& entry::choose_service(const mesh::route& route) {
+    int total = 0;
+    for (const auto& each : route.destinations) {
+        total += each.weight;
+    }
+    if (total <= 0 || route.destinations.size() == 1) {
+        return route.destinations.front().service;
+    }
+    auto left = static_cast<int>(random_() % static_cast<unsigned>(total));
+    for (const auto& each : route.destinations) {
+        left -= each.weight;
+        if (left < 0) {
+            return each.service;
+        }
+    }
+    return route.destinations.back().service;
+}
+
+entry::pending_ptr entry::accept(const std::shared_ptr<net::http_session>& session,
+                                 net::request message) {
+    const auto now = runtime_clock::now();
+    const std::string id(net::find_header(message.fields, names_.request_id));
+    if (!table_) {
+        answer_own(session, id, status_unavailable, "no-configuration", no_configuration_wait);
+        return nullptr;
+    }
+    if (id.empty()) {
+        answer_own(session, id, status_bad_request, "request id missing", duration(0));
+        return nullptr;
+    }
+    const auto* const route = table_->find(message.host, message.path);
+    if (route == nullptr) {
+        answer_own(session, id, status_not_found, "unknown-route", duration(0));
+        return nullptr;
+    }
+    auto made = std::make_shared<pending>();
+    made->session = session;
+    made->table = table_;
+    made->route = route;
+    made->began = now;
+    auto& request = made->request;
+    request.id = id;
+    const auto left = parse_ms(net::find_header(message.fields, names_.time_left_ms));
+    request.deadline = now + std::min<duration>(route->timeout, left.value_or(route->timeout));
+    request.service = choose_service(*route);
+    request.caller = settings_.service;
+    request.importance = admission::make_priority(route->rank, stable_hash(id));
+    request.repeatable = route->repeatable;
+    request.under_way = session->peer().address().to_string() == settings_.target_host;
+    made->plan = attempt_plan(route->attempts, route->repeatable);
+    std::erase_if(message.fields, [this](const net::header& field) {
+        return field.name == names_.request_id || field.name == names_.time_left_ms ||
+               field.name == names_.target_id || field.name == names_.caller ||
+               field.name.starts_with("lh-");
+    });
+    request.message = std::move(message);
+    return made;
+}
+
+void entry::serve(const std::shared_ptr<net::http_session>& session, net::request message) {
+    last_arrival_ = runtime_clock::now();
+    refresh();
+    const auto request = accept(session, std::move(message));
+    if (!request) {
+        return;
+    }
+    services_[request->request.service].budget.on_request(request->began, budget_limits());
+    pending_[session.get()] = request;
+    request->deadline = deadlines_.add(request->request.deadline + answer_grace, [this, request] {
+        request->deadline.reset();
+        on_deadline(request);
+    });
+    place(request);
+}
+
+entry::known_target_ptr entry::choose(const pending& request, bool& all_refuse) {
+    const auto now = runtime_clock::now();
+    const auto& targets = services_[request.request.service].targets;
+    std::vector<mesh::option> options;
+    std::vector<const known_target_ptr*> listed;
+    for (const auto& target : targets) {
+        if (!target->takes_work(now) ||
+            std::ranges::find(request.tried, target) != request.tried.end()) {
+            continue;
+        }
+        options.push_back(target->option(now));
+        listed.push_back(&target);
+    }
+    // Work that has begun elsewhere is not turned away by levels: its cost is already paid.
+    const int importance =
+        request.request.under_way ? admission::closed_level : request.request.importance;
+    const auto index = placement_.choose(options, importance);
+    all_refuse = !index && !options.empty();
+    return index ? *listed[*index] : nullptr;
+}
+
+void entry::place(const pending_ptr& request) {
+    bool all_refuse = false;
+    const auto target = choose(*request, all_refuse);
+    if (!target) {
+        auto failed = request->last_failure;
+        if (request->plan.placements() == 0) {
+            failed =
+                make_failure(execution::not_run, all_refuse ? errc::refused_early : errc::no_target,
+                             step::route, request->request.service);
+        }
+        give_up(request, failed);
+        return;
+    }
+    try_target(request, target);
+}
+
+void entry::try_target(const pending_ptr& request, const known_target_ptr& target) {
+    const auto number = ++request->tries;
+    request->plan.on_try();
+    request->tried.push_back(target);
+    request->sent_to = target;
+    request->cancel = nullptr;
+    target->on_sent();
+    auto done = [this, request, target, number](relay_answer answer) {
+        if (!request->finished && request->tries == number) {
+            on_answer(request, target, std::move(answer));
+        }
+    };
+    std::function<void()> cancel;
+    if (target->record().id == settings_.node_id) {
+        const auto ticket = own_target_.submit(request->request, std::move(done));
+        cancel = [this, ticket] { own_target_.cancel(ticket); };
+    } else {
+        cancel = peers_.submit(target->endpoint(), target->record().id, request->request,
+                               std::move(done));
+    }
+    if (!request->finished && request->tries == number) {
+        request->cancel = std::move(cancel);
+    }
+}
+
+void entry::note_health(known_target& target, const relay_answer& answer, time_point now) {
+    if (answer.load) {
+        target.on_report(*answer.load, now);
+    }
+    const bool is_absent =
+        answer.failure.code == errc::peer_lost || answer.failure.code == errc::target_lost ||
+        answer.failure.code == errc::no_target || answer.failure.code == errc::draining;
+    const bool has_shed = answer.failure.code == errc::target_shed;
+    if (is_absent || has_shed) {
+        target.health().on_failure(now);
+        return;
+    }
+    target.health().on_answer();
+}
+
+void entry::on_answer(const pending_ptr& request, const known_target_ptr& target,
+                      relay_answer answer) {
+    const auto now = runtime_clock::now();
+    request->sent_to.reset();
+    request->cancel = nullptr;
+    note_health(*target, answer, now);
+    const auto next = request->plan.on_answer(answer, request->request.deadline - now);
+    switch (next) {
+    case next_step::deliver:
+        deliver(request, std::move(answer.message));
+        return;
+    case next_step::repeat:
+        if (!take_repeat(request->request.service)) {
+            give_up(request, answer);
+            return;
+        }
+        [[fallthrough]];
+    case next_step::place_again:
+        counters_.count(next == next_step::repeat ? "repeats" : "placed_again");
+        request->last_failure = std::move(answer);
+        place(request);
+        return;
+    case next_step::give_up:
+        give_up(request, answer);
+        return;
+    }
+}
+
+void entry::on_deadline(const pending_ptr& request) {
+    if (request->finished) {
+        return;
+    }
+    if (request->cancel) {
+        request->cancel();
+    }
+    if (request->sent_to) {
+        request->sent_to->health().on_withdrawn();
+    }
+    give_up(request, make_failure(request->plan.proven(), errc::deadline_passed, step::entry,
+                                  request->request.service));
+}
+
+void entry::deliver(const pending_ptr& request, net::response message) {
+    const auto now = runtime_clock::now();
+    counters_.observe(request->route->name, request->request.caller, outcome::completed,
+                      now - request->began);
+    if (success_lines_.take(now)) {
+        log_end(*request, nullptr, message.status);
+    }
+    const auto session = request->session;
+    finish(request);
+    session->answer(message, !stopping_);
+}
+
+void entry::give_up(const pending_ptr& request, const relay_answer& last) {
+    const auto now = runtime_clock::now();
+    const bool has_not_run = request->plan.proven() == execution::not_run;
+    const bool is_late = last.failure.code == errc::deadline_passed;
+    int status = is_late ? status_gateway_timeout : status_bad_gateway;
+    duration retry_after(0);
+    if (has_not_run) {
+        status = status_unavailable;
+        const auto hint = last.retry_after.count() > 0 ? last.retry_after : refusal_wait;
+        retry_after = std::min(retry::spread_retry_after(hint, stable_hash(request->request.id)),
+                               (request->request.deadline - now) / return_divisor);
+    }
+    counters_.observe(request->route->name, request->request.caller,
+                      has_not_run ? outcome::not_run : outcome::unknown, now - request->began);
+    counters_.count("given_up." + last.failure.code.message());
+    if (failure_lines_.take(now)) {
+        log_end(*request, &last, status);
+    }
+    const auto session = request->session;
+    const auto id = request->request.id;
+    finish(request);
+    answer_own(session, id, status, last.failure.code.message(), retry_after);
+}
+
+void entry::finish(const pending_ptr& request) {
+    request->finished = true;
+    if (request->deadline) {
+        deadlines_.remove(*request->deadline);
+        request->deadline.reset();
+    }
+    request->cancel = nullptr;
+    pending_.erase(request->session.get());
+}
+
+void entry::on_gone(const std::shared_ptr<net::http_session>& session) {
+    const auto found = pending_.find(session.get());
+    if (found == pending_.end()) {
+        return;
+    }
+    const pending_ptr request = found->second;
+    if (request->cancel) {
+        request->cancel();
+    }
+    if (request->sent_to) {
+        request->sent_to->health().on_withdrawn();
+    }
+    counters_.count("callers_gone");
+    finish(request);
+}
+
+void entry::answer_own(const std::shared_ptr<net::http_session>& session, const std::string& id,
+                       int status, std::string_view cause, duration retry_after) {
+    net::response message;
+    message.status = status;
+    message.fields.push_back({"content-type", "application/problem+json"});
+    if (!id.empty()) {
+        message.fields.push_back({names_.request_id, id});
+    }
+    if (retry_after.count() > 0) {
+        message.fields.push_back({"retry-after", in_seconds(retry_after)});
+    }
+    message.body = boost::json::serialize(
+        boost::json::object{{"title", cause}, {"status", status}, {"node", settings_.node_id}});
+    session->answer(message, !stopping_);
+}
+
+void entry::log_end(const pending& request, const relay_answer* failed, int status) {
+    boost::json::object details{
+        {"request", request.request.id},
+        {"route", request.route->name},
+        {"service", request.request.service},
+        {"importance", request.request.importance},
+        {"status", status},
+        {"ms", in_ms(runtime_clock::now() - request.began)},
+        {"tries", request.plan.placements()},
+        {"configuration", request.table->version()},
+    };
+    if (!request.tried.empty()) {
+        details["target"] = request.tried.back()->record().id;
+    }
+    if (failed != nullptr) {
+        details["cause"] = failed->failure.code.message();
+        details["step"] = to_string(failed->failure.where);
+        details["peer"] = failed->failure.peer;
+        details["execution"] = to_string(request.plan.proven());
+    }
+    logging::log_line(failed == nullptr ? logging::severity::info : logging::severity::warning,
+                      failed == nullptr ? "request answered" : "request given up",
+                      std::move(details));
+}
+
+void entry::log_suppressed() {
+    const auto failures = failure_lines_.take_suppressed();
+    const auto successes = success_lines_.take_suppressed();
+    if (failures > 0) {
+        logging::log_line(logging::severity::info, "lines suppressed",
+                          {{"given_up", failures},
+                           {"answered", successes},
+                           {"queue_full", logging::dropped_lines()}});
+    }
+}
+
+} // namespace lavenderhoist::relay
--- /dev/null
+++ b/libs/relay/src/known_target.cpp
@@ -0,0 +1,35 @@
+#include "lavenderhoist/relay/known_target.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderhoist::relay {
+
+known_target::known_target(mesh::host_record record, mesh::distance where)
+    : record_(std::move(record)),
+      endpoint_(net::make_endpoint(record_.calls.host, record_.calls.port)),
+      where_(where) {}
+
+bool known_target::takes_work(time_point now) const noexcept {
+    return record_.state == mesh::target_state::ready && !record_.node_stopping &&
+           health_.is_available(now);
+}
+
+mesh::option known_target::option(time_point now) const noexcept {
+    const int limit = std::max(1, last_.limit > 0 ? last_.limit : record_.slots);
+    const int busy = std::max(last_.busy + sent_since_report_, health_.in_flight());
+    return {where_, static_cast<double>(busy) / limit, level_.level(now)};
+}
+
+void known_target::on_sent() noexcept {
+    health_.on_sent();
+    ++sent_since_report_;
+}
+
+void known_target::on_report(const load_report& report, time_point now) noexcept {
+    last_ = report;
+    sent_since_report_ = 0;
+    level_.hear(report.level, now);
+}
+
+} // namespace lavenderhoist::relay
--- /dev/null
+++ b/libs/relay/src/stream_codec.cpp
@@ -0,0 +1,147 @@
+#include "lavenderhoist/relay/stream_codec.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace lavenderhoist::relay {
+namespace {
+
+constexpr std::string_view own_prefix = "lh-";
+constexpr int status_failure = 503; // of streams that carry no answer of a target
+
+template <typename Number>
+std::optional<Number> parse(std::string_view text) {
+    Number value{};
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::int64_t in_us(duration length) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(length).count();
+}
+
+std::optional<load_report> parse_load(std::string_view text) {
+    std::array<int, 3> values{};
+    for (auto& value : values) {
+        const auto end = std::min(text.find(' '), text.size());
+        const auto parsed = parse<int>(text.substr(0, end));
+        if (!parsed) {
+            return std::nullopt;
+        }
+        value = *parsed;
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return load_report{values[0], values[1], values[2]};
+}
+
+std::optional<execution> parse_execution(std::string_view name) {
+    for (const auto each : {execution::answered, execution::not_run, execution::unknown}) {
+        if (to_string(each) == name) {
+            return each;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+net::request to_stream(const relay_request& request, time_point now) {
+    auto message = request.message;
+    auto& fields = message.fields;
+    fields.push_back({"lh-id", request.id});
+    fields.push_back({"lh-service", request.service});
+    fields.push_back({"lh-caller", request.caller});
+    fields.push_back({"lh-left-us", std::to_string(in_us(request.deadline - now))});
+    fields.push_back({"lh-importance", std::to_string(request.importance)});
+    if (request.under_way) {
+        fields.push_back({"lh-under-way", "1"});
+    }
+    if (request.repeatable) {
+        fields.push_back({"lh-repeatable", "1"});
+    }
+    return message;
+}
+
+std::optional<relay_request> from_stream(net::request message, time_point now) {
+    const auto field = [&message](std::string_view name) {
+        return net::find_header(message.fields, name);
+    };
+    relay_request request;
+    request.id = field("lh-id");
+    request.service = field("lh-service");
+    request.caller = field("lh-caller");
+    request.under_way = !field("lh-under-way").empty();
+    request.repeatable = !field("lh-repeatable").empty();
+    const auto left = parse<std::int64_t>(field("lh-left-us"));
+    const auto importance = parse<int>(field("lh-importance"));
+    if (request.id.empty() || request.service.empty() || !left || !importance) {
+        return std::nullopt;
+    }
+    request.deadline = now + std::chrono::microseconds(*left);
+    request.importance = *importance;
+    net::remove_headers_with_prefix(message.fields, own_prefix);
+    request.message = std::move(message);
+    return request;
+}
+
+net::response to_stream(const relay_answer& answer) {
+    net::response message;
+    message.status = status_failure;
+    if (answer.result == execution::answered) {
+        message = answer.message;
+    }
+    auto& fields = message.fields;
+    fields.push_back({"lh-result", std::string(to_string(answer.result))});
+    if (answer.failure) {
+        fields.push_back({"lh-cause", answer.failure.code.message()});
+        fields.push_back({"lh-step", std::string(to_string(answer.failure.where))});
+    }
+    if (answer.retry_after.count() > 0) {
+        fields.push_back({"lh-retry-after-us", std::to_string(in_us(answer.retry_after))});
+    }
+    if (answer.reached_target) {
+        fields.push_back({"lh-reached", "1"});
+    }
+    if (answer.load) {
+        const auto& load = *answer.load;
+        fields.push_back({"lh-load", std::to_string(load.limit) + ' ' + std::to_string(load.busy) +
+                                         ' ' + std::to_string(load.level)});
+    }
+    return message;
+}
+
+relay_answer from_stream(net::exchange_result result, const std::string& peer) {
+    if (result.code) {
+        const auto proof = result.never_processed ? execution::not_run : execution::unknown;
+        auto failed = make_failure(proof, errc::peer_lost, step::stream, peer);
+        failed.reached_target = !result.never_processed;
+        return failed;
+    }
+    auto& fields = result.answer.fields;
+    const auto claimed = parse_execution(net::find_header(fields, "lh-result"));
+    if (!claimed) {
+        return make_failure(execution::unknown, errc::bad_answer, step::stream, peer);
+    }
+    relay_answer answer;
+    answer.result = *claimed;
+    answer.load = parse_load(net::find_header(fields, "lh-load"));
+    answer.reached_target = !net::find_header(fields, "lh-reached").empty();
+    if (answer.result != execution::answered) {
+        answer.failure = {parse_errc(net::find_header(fields, "lh-cause")),
+                          parse_step(net::find_header(fields, "lh-step")), peer};
+        const auto wait = parse<std::int64_t>(net::find_header(fields, "lh-retry-after-us"));
+        answer.retry_after = std::chrono::microseconds(wait.value_or(0));
+        return answer;
+    }
+    net::remove_headers_with_prefix(fields, own_prefix);
+    answer.message = std::move(result.answer);
+    return answer;
+}
+
+} // namespace lavenderhoist::relay
