--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -346,7 +346,8 @@
             co_await publish_wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        const auto result = co_await store_.append(topic::hosts, {settings_.id, encode(wanted), 0});
+        const store_record record{settings_.id, encode(wanted), 0};
+        const auto result = co_await store_.append(topic::hosts, record);
         if (const auto* const done = std::get_if<record_appended>(&result)) {
             pause = first_publish_pause;
             take_host(wanted, done->offset);
