Topic follower: no aggregate temporary in an await expression

Cause: 'co_await after_failure(cond ? store_failure{...} : *failed)'; GCC 12 destroys such a temporary twice. Ruled out: the append (mended before), the question to other nodes (a named constant). Test: follower_test.a_store_that_is_away_at_first_is_asked_again, which aborted before.

--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -41,8 +41,11 @@
     const auto result = co_await store_.list_newest(which_);
     const auto* const batch = std::get_if<record_batch>(&result);
     if (batch == nullptr) {
-        const auto* const failed = std::get_if<store_failure>(&result);
-        co_await after_failure(failed == nullptr ? store_failure{"unexpected answer"} : *failed);
+        store_failure failed{"unexpected answer"};
+        if (const auto* const told = std::get_if<store_failure>(&result)) {
+            failed = *told;
+        }
+        co_await after_failure(failed);
         co_return;
     }
     note_answer();
--- /dev/null
+++ b/libs/agent/test/topic_follower_test.cpp
@@ -0,0 +1,134 @@
+#include "lavenderhoist/agent/topic_follower.hpp"
+
+#include "lavenderhoist/net/http_server.hpp"
+#include "lavenderhoist/net/spawn.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lavenderhoist::agent {
+namespace {
+
+/** A codec of which only the path tells the calls apart; the fake store below answers them. */
+class plain_codec final : public store_codec {
+public:
+    net::request list_newest(topic /*which*/, std::string_view /*after*/) const override {
+        net::request message;
+        message.method = "GET";
+        message.path = "/newest";
+        return message;
+    }
+    read_result parse_newest(const net::exchange_result& answer) const override {
+        return parse(answer);
+    }
+    net::request read(topic /*which*/, std::int64_t /*offset*/, duration /*wait*/) const override {
+        net::request message;
+        message.method = "GET";
+        message.path = "/read";
+        return message;
+    }
+    read_result parse_read(const net::exchange_result& answer,
+                           std::int64_t /*offset*/) const override {
+        return parse(answer);
+    }
+    net::request append(topic /*which*/, const store_record& /*record*/) const override {
+        return {};
+    }
+    append_result parse_append(const net::exchange_result& /*answer*/) const override {
+        return store_failure{"not used here", false};
+    }
+
+private:
+    static read_result parse(const net::exchange_result& answer) {
+        if (answer.code) {
+            return store_failure{answer.code.message(), true};
+        }
+        if (answer.answer.status == 410) {
+            return records_expired{};
+        }
+        if (answer.answer.status != 200) {
+            return store_failure{"status " + std::to_string(answer.answer.status), false};
+        }
+        record_batch batch;
+        batch.records.push_back({"key", answer.answer.body, 1});
+        batch.next_offset = 2;
+        return batch;
+    }
+};
+
+/** Answers calls with the statuses given, then never again. */
+class follower_test : public testing::Test {
+protected:
+    void serve(std::vector<int> statuses) {
+        statuses_ = std::move(statuses);
+        auto acceptor = net::listen(context_.get_executor(), net::make_endpoint("127.0.0.1", 0));
+        where_ = acceptor.local_endpoint();
+        server_ = std::make_unique<net::http_server>(
+            std::move(acceptor),
+            net::http_server::limits{8, 8192, 8192, std::chrono::seconds(1),
+                                     std::chrono::seconds(5)},
+            [this](net::request message, std::string /*peer*/, net::cancellation_ptr /*gone*/) {
+                return answer(std::move(message));
+            },
+            [](int status, std::string_view /*reason*/) { return net::response{status, {}, ""}; });
+        server_->start();
+    }
+
+    boost::asio::awaitable<net::response> answer(net::request message) {
+        asked_.push_back(message.path);
+        net::response reply;
+        reply.status = statuses_.at(asked_.size() - 1);
+        reply.body = message.path;
+        if (asked_.size() == statuses_.size()) {
+            context_.stop();
+        }
+        co_return reply;
+    }
+
+    /** Runs a follower until the last status has been given. */
+    void follow() {
+        store_client store(context_.get_executor(), where_, codec_);
+        topic_follower::events events;
+        events.on_record = [this](const store_record& record) { seen_.push_back(record.value); };
+        events.on_current = [] {};
+        events.on_lost = [this](const std::string& reason) { lost_.push_back(reason); };
+        events.on_regained = [this] { ++regained_; };
+        topic_follower follower(context_.get_executor(), store, topic::hosts, events);
+        net::spawn(context_, follower.run());
+        context_.run_for(std::chrono::seconds(5));
+    }
+
+    boost::asio::io_context context_{1};
+    plain_codec codec_;
+    net::tcp::endpoint where_;
+    std::vector<int> statuses_;
+    std::unique_ptr<net::http_server> server_;
+    std::vector<std::string> asked_;
+    std::vector<std::string> seen_;
+    std::vector<std::string> lost_;
+    int regained_{0};
+};
+
+TEST_F(follower_test, a_store_that_is_away_at_first_is_asked_again) {
+    serve({503, 503, 200, 200, 503});
+    follow();
+    EXPECT_EQ(asked_, (std::vector<std::string>{"/newest", "/newest", "/newest", "/read", "/read"}));
+    EXPECT_EQ(seen_, (std::vector<std::string>{"/newest", "/read"}));
+    EXPECT_EQ(lost_, std::vector<std::string>{"status 503"});
+    EXPECT_EQ(regained_, 1);
+}
+
+TEST_F(follower_test, expired_records_are_listed_again) {
+    serve({200, 410, 200, 200, 200});
+    follow();
+    EXPECT_EQ(asked_, (std::vector<std::string>{"/newest", "/read", "/newest", "/read", "/read"}));
+    EXPECT_TRUE(lost_.empty());
+}
+
+} // namespace
+} // namespace lavenderhoist::agent
--- /dev/null
+++ b/libs/mesh/test/repeat_budget_test.cpp
@@ -0,0 +1,52 @@
+#include "lavenderhoist/mesh/repeat_budget.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace lavenderhoist::mesh {
+namespace {
+
+constexpr repeat_budget::limits bounds{0.1, 3, std::chrono::seconds(10)};
+
+TEST(repeat_budget, allows_the_extra_without_any_request) {
+    repeat_budget budget;
+    const time_point now{std::chrono::hours(1)};
+    EXPECT_TRUE(budget.take(now, bounds));
+    EXPECT_TRUE(budget.take(now, bounds));
+    EXPECT_TRUE(budget.take(now, bounds));
+    EXPECT_FALSE(budget.take(now, bounds));
+    EXPECT_TRUE(budget.take(now + std::chrono::seconds(12), bounds));
+}
+
+// In any window of the length, and for any arrivals, repeats stay within the bound for the requests
+// of that window and one part of a window before it.
+TEST(repeat_budget, keeps_to_the_bound_in_every_window) {
+    rc::check([] {
+        repeat_budget budget;
+        std::vector<time_point> requests;
+        std::vector<time_point> repeats;
+        time_point now{std::chrono::hours(1)};
+        for (int i = 0; i < *rc::gen::inRange(1, 300); ++i) {
+            now += milliseconds(*rc::gen::inRange(0, 200));
+            if (*rc::gen::inRange(0, 3) > 0) {
+                budget.on_request(now, bounds);
+                requests.push_back(now);
+            } else if (budget.take(now, bounds)) {
+                repeats.push_back(now);
+            }
+            const auto since = [&now](const std::vector<time_point>& all, duration length) {
+                return std::ranges::count_if(
+                    all, [&](time_point each) { return each > now - length; });
+            };
+            const auto covered = bounds.window + bounds.window / 5;
+            RC_ASSERT(static_cast<double>(since(repeats, bounds.window)) <=
+                      bounds.ratio * static_cast<double>(since(requests, covered)) + bounds.extra);
+        }
+    });
+}
+
+} // namespace
+} // namespace lavenderhoist::mesh
