--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -6,7 +6,10 @@
 namespace {
 
 constexpr int queue_factor = 4;     // the queue holds so many times what may run
-constexpr int patience_divisor = 8; // a request waits for this part of its time at most
+constexpr int patience_divisor = 8; // a new request waits for this part of its time at most
+
+/** Refusing work under way wastes what was done for it: it may wait for this part of its time. */
+constexpr int under_way_patience_divisor = 2;
 constexpr std::size_t least_queue_capacity = 4;
 constexpr double service_time_weight = 0.05;
 constexpr duration least_wanted_wait = std::chrono::milliseconds(20);
@@ -39,7 +42,8 @@
 
 void controller::enqueue(const request_info& request, time_point now, std::vector<decision>& out) {
     const auto wait = expected_wait(queue_.ahead_of(request, now));
-    const auto patience = (request.deadline - now) / patience_divisor;
+    const auto patience = (request.deadline - now) /
+                          (request.under_way ? under_way_patience_divisor : patience_divisor);
     if (wait > patience || now + wait + service_time_ > request.deadline) {
         out.emplace_back(make_refusal(request.id, errc::overloaded));
         return;
--- a/libs/agent/src/sidecar.cpp
+++ b/libs/agent/src/sidecar.cpp
@@ -41,7 +41,6 @@
     result.node_id = settings.id;
     result.data_centre = settings.data_centre;
     result.service = settings.service;
-    result.target_host = settings.target.host;
     result.repeat_ratio = settings.repeat_ratio;
     result.repeat_extra = settings.repeat_extra;
     result.repeat_window = settings.repeat_window;
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -64,12 +64,19 @@
     /** \brief Limits for callers of the configuration in force; null before there is one. */
     const mesh::caller_limits* limits();
 
+    /** \brief The admission level that calls made for requests of a route have met lately. */
+    admission::priority callee_level(const std::string& route) const;
+
+    /** \brief Asks for levels that are in force and were not heard lately. To be called often. */
+    void refresh_levels();
+
     /** \brief Logs how many decision lines were suppressed since the last call. */
     void log_suppressed();
 
 private:
     struct pending;
     struct known_service;
+    struct known_callee;
     using pending_ptr = std::shared_ptr<pending>;
     using known_target_ptr = std::shared_ptr<known_target>;
 
@@ -77,6 +84,11 @@
     void rebuild_targets();
     mesh::distance distance_to(const mesh::host_record& record) const;
     pending_ptr accept(const std::shared_ptr<net::http_session>& session, net::request message);
+    admission::priority lowest_level(const std::string& route, const std::string& service,
+                                     time_point now) const;
+    void note_call(const std::string& parent_route, const pending& call);
+    void ask_levels(const std::string& route, known_service& service, time_point now);
+    std::string_view parent_of(std::string_view id) const;
     const std::string& choose_service(const mesh::route& route);
     void place(const pending_ptr& request);
     known_target_ptr choose(const pending& request, bool& all_refuse);
@@ -106,6 +118,8 @@
     mesh::routing_table_ptr table_;
     std::shared_ptr<const std::vector<mesh::host_record>> hosts_;
     std::unordered_map<std::string, known_service> services_;
+    /** By route of the requests that the own target runs: the routes of the calls it makes. */
+    std::unordered_map<std::string, std::vector<known_callee>> callees_;
     std::unordered_map<net::http_session*, pending_ptr> pending_;
     logging::line_budget failure_lines_;
     logging::line_budget success_lines_;
--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -7,6 +7,9 @@
 #include "lavenderhoist/routing/level_memory.hpp"
 #include "lavenderhoist/routing/target_state.hpp"
 
+#include <string>
+#include <unordered_map>
+
 namespace lavenderhoist::relay {
 
 /** \brief A target as one entry knows it: what its node published and what its answers showed. */
@@ -22,19 +25,33 @@
 
     bool takes_work(time_point now) const noexcept;
 
-    mesh::option option(time_point now) const noexcept;
+    /** \brief How it looks to requests of a route. */
+    mesh::option option(const std::string& route, time_point now) const;
 
     void on_sent() noexcept;
-    void on_report(const load_report& report, time_point now) noexcept;
+    /** \brief The admission level that requests of a route meet there, as last heard. */
+    admission::priority level(const std::string& route, time_point now) const;
+
+    /** \brief True if a level that is in force for the route was heard longer ago than `age`. */
+    bool has_stale_level(const std::string& route, duration age, time_point now) const;
+
+    /** \brief An answer to a request of a route has brought this report. */
+    void on_report(const std::string& route, const load_report& report, time_point now);
 
     routing::target_state& health() noexcept { return health_; }
 
 private:
+    struct heard_level {
+        routing::level_memory memory;
+        time_point when{};
+    };
+
     mesh::host_record record_;
     net::tcp::endpoint endpoint_;
     mesh::distance where_;
     routing::target_state health_;
-    routing::level_memory level_;
+    /** By route: the level of an answer covers the calls made for it, which differ by route. */
+    std::unordered_map<std::string, heard_level> levels_;
     load_report last_;
     int sent_since_report_{0};
 };
--- a/libs/relay/include/lavenderhoist/relay/peer_links.hpp
+++ b/libs/relay/include/lavenderhoist/relay/peer_links.hpp
@@ -33,6 +33,10 @@
     cancel_function submit(const net::tcp::endpoint& where, const std::string& peer_id,
                            const relay_request& request, done_handler done);
 
+    /** \brief Asks the node at `where` for its load, if a connection to it is open. */
+    void ask_load(const net::tcp::endpoint& where, const std::string& route,
+                  std::function<void(const load_report&)> told);
+
     /** \brief Looks for connections that have gone silent. To be called every `watch_interval`. */
     void watch();
 
--- a/libs/relay/include/lavenderhoist/relay/relay_request.hpp
+++ b/libs/relay/include/lavenderhoist/relay/relay_request.hpp
@@ -12,6 +12,7 @@
 struct relay_request {
     net::request message; ///< Without the fields that nodes set themselves.
     std::string id;       ///< Of this attempt of the caller.
+    std::string route;    ///< Name of its route.
     std::string service;  ///< That is to run it.
     std::string caller;   ///< Service on whose host it began.
     time_point deadline;  ///< When its answer is of no more use.
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -58,7 +59,18 @@
     /** \brief Closes connections that the target is about to close. */
     void close_idle();
 
-    load_report load() const;
+    /** \returns the request of that id that is at the target, or null. Valid until the next call.
+     */
+    const relay_request* find_running(std::string_view request_id) const;
+
+    /** \brief Tells the admission level that the calls made for requests of a route meet. */
+    using callee_level = std::function<admission::priority(const std::string& route)>;
+
+    /** \brief Has load reports cover what lies below the target as well. */
+    void set_callee_level(callee_level below) { callee_level_ = std::move(below); }
+
+    /** \brief The load as requests of a route meet it, the calls made for them included. */
+    load_report load(const std::string& route) const;
     std::size_t in_flight() const noexcept { return jobs_.size(); }
     const totals& counted() const noexcept { return totals_; }
     std::size_t open_connections() const noexcept { return links_.size(); }
@@ -78,6 +90,7 @@
     net::request make_message(const job& job) const;
     link_ptr take_idle_link();
     void finish(const job_ptr& job, relay_answer answer, admission::finish how);
+    void forget(const job& gone);
     void refuse(ticket which, errc cause, duration retry_after);
     void refuse_waiting(errc cause);
     void forget_links();
@@ -89,9 +102,11 @@
     std::optional<target_settings> target_;
     std::unique_ptr<admission::controller> controller_;
     std::unordered_map<ticket, job_ptr> jobs_;
+    std::unordered_map<std::string_view, job*> running_; ///< By request id; views into the jobs.
     std::unordered_map<net::http_link*, link_ptr> links_;
     std::vector<link_ptr> idle_; ///< The one used last is at the back.
     ticket last_ticket_{0};
+    callee_level callee_level_;
     time_point down_until_{};
     totals totals_;
 };
--- a/libs/relay/include/lavenderhoist/relay/wire_names.hpp
+++ b/libs/relay/include/lavenderhoist/relay/wire_names.hpp
@@ -12,6 +12,10 @@
     std::string target_id;    ///< The target that a request is meant for.
     std::string not_executed; ///< In an answer: the target has not run the request.
     std::string caller;       ///< The service on whose host the request began.
+
+    /** In the id of a call, what separates the id of the request that makes it from the rest; 0 if
+     * ids don't tell. */
+    char parent_separator{0};
 };
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -85,6 +85,8 @@
         net::h2_server::call_handler([this](net::request message, net::h2_call_ptr call) {
             serve_stream(std::move(message), std::move(call));
         }));
+    own_target.set_callee_level(
+        [this](const std::string& route) { return front.callee_level(route); });
     events->on_request = [this](const std::shared_ptr<net::http_session>& session,
                                 net::request message) { front.serve(session, std::move(message)); };
     events->on_gone = [this](const std::shared_ptr<net::http_session>& session) {
@@ -125,6 +127,10 @@
         call->answer(state);
         return;
     }
+    if (const auto route = parse_load_question(message)) {
+        call->answer(make_load_answer(own_target.load(*route)));
+        return;
+    }
     auto request = from_stream(std::move(message), runtime_clock::now());
     if (!request) {
         counters.count("streams_malformed");
@@ -142,6 +148,7 @@
     last_turn = runtime_clock::now().time_since_epoch().count();
     own_target.on_window();
     peers.watch();
+    front.refresh_levels();
     ++ticks;
     if (ticks % ticks_per_sweep == 0) {
         sweep();
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -38,6 +38,15 @@
 /** Share of the allowed repeats that is used: calls below a repeat count as repeats as well. */
 constexpr double repeat_share = 0.5;
 
+/** A level in force that was heard longer ago is asked for. */
+constexpr duration level_age = std::chrono::milliseconds(150);
+
+/** Levels are kept fresh for routes that had a request within this time. */
+constexpr duration route_memory = std::chrono::seconds(5);
+
+/** Questions for one route at a time; a service may have many targets. */
+constexpr int questions_per_route = 4;
+
 /** Log lines a second: enough to explain single requests, bounded under load. */
 constexpr double failure_lines_per_second = 10;
 constexpr double success_lines_per_second = 0.5;
@@ -91,6 +100,14 @@
 struct entry::known_service {
     std::vector<known_target_ptr> targets;
     mesh::repeat_budget budget;
+    std::unordered_map<std::string, time_point> wanted; ///< By route: its last request here.
+};
+
+/** The route of calls that the own target makes. */
+struct entry::known_callee {
+    std::string route;
+    std::string service;
+    time_point last_call;
 };
 
 entry::entry(const entry_settings& settings, const wire_names& names, const view_cell& views,
@@ -193,6 +210,88 @@
     return route.destinations.back().service;
 }
 
+admission::priority entry::lowest_level(const std::string& route, const std::string& service,
+                                        time_point now) const {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return admission::open_level;
+    }
+    auto lowest = admission::closed_level;
+    bool any = false;
+    for (const auto& target : found->second.targets) {
+        if (!target->takes_work(now)) {
+            continue;
+        }
+        any = true;
+        lowest = std::min(lowest, target->level(route, now));
+    }
+    return any ? lowest : admission::open_level;
+}
+
+admission::priority entry::callee_level(const std::string& route) const {
+    const auto found = callees_.find(route);
+    if (found == callees_.end()) {
+        return admission::open_level;
+    }
+    const auto now = runtime_clock::now();
+    auto highest = admission::open_level;
+    for (const auto& callee : found->second) {
+        if (now - callee.last_call < route_memory) {
+            highest = std::max(highest, lowest_level(callee.route, callee.service, now));
+        }
+    }
+    return highest;
+}
+
+void entry::note_call(const std::string& parent_route, const pending& call) {
+    auto& callees = callees_[parent_route];
+    const auto found = std::ranges::find_if(callees, [&call](const known_callee& each) {
+        return each.route == call.route->name && each.service == call.request.service;
+    });
+    if (found != callees.end()) {
+        found->last_call = call.began;
+        return;
+    }
+    std::erase_if(callees, [&call](const known_callee& each) {
+        return call.began - each.last_call > route_memory;
+    });
+    callees.push_back({call.route->name, call.request.service, call.began});
+}
+
+void entry::refresh_levels() {
+    const auto now = runtime_clock::now();
+    for (auto& [name, service] : services_) {
+        std::erase_if(service.wanted,
+                      [now](const auto& each) { return now - each.second > route_memory; });
+        for (const auto& [route, last] : service.wanted) {
+            ask_levels(route, service, now);
+        }
+    }
+}
+
+void entry::ask_levels(const std::string& route, known_service& service, time_point now) {
+    int asked = 0;
+    for (const auto& target : service.targets) {
+        if (asked == questions_per_route) {
+            return;
+        }
+        if (target->record().id == settings_.node_id ||
+            !target->has_stale_level(route, level_age, now)) {
+            continue;
+        }
+        ++asked;
+        peers_.ask_load(target->endpoint(), route, [target, route](const load_report& load) {
+            target->on_report(route, load, runtime_clock::now());
+        });
+    }
+}
+
+std::string_view entry::parent_of(std::string_view id) const {
+    const auto end =
+        names_.parent_separator == 0 ? std::string_view::npos : id.rfind(names_.parent_separator);
+    return end == std::string_view::npos ? std::string_view() : id.substr(0, end);
+}
+
 entry::pending_ptr entry::accept(const std::shared_ptr<net::http_session>& session,
                                  net::request message) {
     const auto now = runtime_clock::now();
@@ -221,9 +320,17 @@
     request.deadline = now + std::min<duration>(route->timeout, left.value_or(route->timeout));
     request.service = choose_service(*route);
     request.caller = settings_.service;
-    request.importance = admission::make_priority(route->rank, stable_hash(id));
     request.repeatable = route->repeatable;
-    request.under_way = session->peer().address().to_string() == settings_.target_host;
+    // All calls of one chain have the importance of its first request, so that every hop sheds the
+    // same chains.
+    const auto* const parent = own_target_.find_running(parent_of(id));
+    request.route = route->name;
+    request.under_way = parent != nullptr;
+    if (parent != nullptr) {
+        note_call(parent->route, *made);
+    }
+    request.importance = parent != nullptr ? parent->importance
+                                           : admission::make_priority(route->rank, stable_hash(id));
     made->plan = attempt_plan(route->attempts, route->repeatable);
     std::erase_if(message.fields, [this](const net::header& field) {
         return field.name == names_.request_id || field.name == names_.time_left_ms ||
@@ -241,7 +348,9 @@
     if (!request) {
         return;
     }
-    services_[request->request.service].budget.on_request(request->began, budget_limits());
+    auto& service = services_[request->request.service];
+    service.budget.on_request(request->began, budget_limits());
+    service.wanted[request->route->name] = request->began;
     pending_[session.get()] = request;
     request->deadline = deadlines_.add(request->request.deadline + answer_grace, [this, request] {
         request->deadline.reset();
@@ -260,7 +369,7 @@
             std::ranges::find(request.tried, target) != request.tried.end()) {
             continue;
         }
-        options.push_back(target->option(now));
+        options.push_back(target->option(request.route->name, now));
         listed.push_back(&target);
     }
     // Work that has begun elsewhere is not turned away by levels: its cost is already paid.
@@ -313,9 +422,6 @@
 }
 
 void entry::note_health(known_target& target, const relay_answer& answer, time_point now) {
-    if (answer.load) {
-        target.on_report(*answer.load, now);
-    }
     const bool is_absent =
         answer.failure.code == errc::peer_lost || answer.failure.code == errc::target_lost ||
         answer.failure.code == errc::no_target || answer.failure.code == errc::draining;
@@ -333,6 +439,9 @@
     request->sent_to.reset();
     request->cancel = nullptr;
     note_health(*target, answer, now);
+    if (answer.load) {
+        target->on_report(request->route->name, *answer.load, now);
+    }
     const auto next = request->plan.on_answer(answer, request->request.deadline - now);
     switch (next) {
     case next_step::deliver:
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -15,10 +15,21 @@
            health_.is_available(now);
 }
 
-mesh::option known_target::option(time_point now) const noexcept {
+mesh::option known_target::option(const std::string& route, time_point now) const {
     const int limit = std::max(1, last_.limit > 0 ? last_.limit : record_.slots);
     const int busy = std::max(last_.busy + sent_since_report_, health_.in_flight());
-    return {where_, static_cast<double>(busy) / limit, level_.level(now)};
+    return {where_, static_cast<double>(busy) / limit, level(route, now)};
+}
+
+admission::priority known_target::level(const std::string& route, time_point now) const {
+    const auto heard = levels_.find(route);
+    return heard == levels_.end() ? admission::open_level : heard->second.memory.level(now);
+}
+
+bool known_target::has_stale_level(const std::string& route, duration age, time_point now) const {
+    const auto heard = levels_.find(route);
+    return heard != levels_.end() && heard->second.memory.level(now) > admission::open_level &&
+           now - heard->second.when > age;
 }
 
 void known_target::on_sent() noexcept {
@@ -26,10 +37,12 @@
     ++sent_since_report_;
 }
 
-void known_target::on_report(const load_report& report, time_point now) noexcept {
+void known_target::on_report(const std::string& route, const load_report& report, time_point now) {
     last_ = report;
     sent_since_report_ = 0;
-    level_.hear(report.level, now);
+    auto& heard = levels_[route];
+    heard.memory.hear(report.level, now);
+    heard.when = now;
 }
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/src/peer_links.cpp
+++ b/libs/relay/src/peer_links.cpp
@@ -96,6 +96,20 @@
     }
 }
 
+void peer_links::ask_load(const net::tcp::endpoint& where, const std::string& route,
+                          std::function<void(const load_report&)> told) {
+    const auto found = links_.find(where);
+    if (found == links_.end() || !found->second->client) {
+        return;
+    }
+    found->second->client->submit(make_load_question(route),
+                                  [told = std::move(told)](const net::exchange_result& result) {
+                                      if (const auto load = parse_load_answer(result)) {
+                                          told(*load);
+                                      }
+                                  });
+}
+
 void peer_links::connect(const link_ptr& target) {
     if (target->connecting) {
         return;
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view own_prefix = "lh-";
+constexpr std::string_view load_path = "/lh/load";
+constexpr int status_load = 200;
 constexpr int status_failure = 503; // of streams that carry no answer of a target
 
 template <typename Number>
@@ -26,6 +28,11 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(length).count();
 }
 
+std::string encode_load(const load_report& load) {
+    return std::to_string(load.limit) + ' ' + std::to_string(load.busy) + ' ' +
+           std::to_string(load.level);
+}
+
 std::optional<load_report> parse_load(std::string_view text) {
     std::array<int, 3> values{};
     for (auto& value : values) {
@@ -55,6 +62,7 @@
     auto message = request.message;
     auto& fields = message.fields;
     fields.push_back({"lh-id", request.id});
+    fields.push_back({"lh-route", request.route});
     fields.push_back({"lh-service", request.service});
     fields.push_back({"lh-caller", request.caller});
     fields.push_back({"lh-left-us", std::to_string(in_us(request.deadline - now))});
@@ -74,6 +82,7 @@
     };
     relay_request request;
     request.id = field("lh-id");
+    request.route = field("lh-route");
     request.service = field("lh-service");
     request.caller = field("lh-caller");
     request.under_way = !field("lh-under-way").empty();
@@ -109,13 +118,38 @@
         fields.push_back({"lh-reached", "1"});
     }
     if (answer.load) {
-        const auto& load = *answer.load;
-        fields.push_back({"lh-load", std::to_string(load.limit) + ' ' + std::to_string(load.busy) +
-                                         ' ' + std::to_string(load.level)});
+        fields.push_back({"lh-load", encode_load(*answer.load)});
     }
     return message;
 }
 
+net::request make_load_question(const std::string& route) {
+    net::request message;
+    message.method = "GET";
+    message.path = load_path;
+    message.fields.push_back({"lh-route", route});
+    return message;
+}
+
+std::optional<std::string> parse_load_question(const net::request& message) {
+    if (message.path != load_path || !net::find_header(message.fields, "lh-id").empty()) {
+        return std::nullopt;
+    }
+    return std::string(net::find_header(message.fields, "lh-route"));
+}
+
+net::response make_load_answer(const load_report& load) {
+    net::response message;
+    message.status = status_load;
+    message.fields.push_back({"lh-load", encode_load(load)});
+    return message;
+}
+
+std::optional<load_report> parse_load_answer(const net::exchange_result& result) {
+    return result.code ? std::nullopt
+                       : parse_load(net::find_header(result.answer.fields, "lh-load"));
+}
+
 relay_answer from_stream(net::exchange_result result, const std::string& peer) {
     if (result.code) {
         const auto proof = result.never_processed ? execution::not_run : execution::unknown;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -107,12 +107,13 @@
     }
 }
 
-load_report target_port::load() const {
+load_report target_port::load(const std::string& route) const {
     if (!controller_) {
         return {};
     }
+    const auto below = callee_level_ ? callee_level_(route) : admission::open_level;
     return {controller_->limit(), controller_->in_flight() + controller_->waiting(),
-            controller_->level()};
+            std::max(controller_->level(), below)};
 }
 
 target_port::ticket target_port::submit(relay_request request, done_handler done) {
@@ -131,7 +132,7 @@
     if (cause != errc::ok) {
         ++totals_.refused;
         auto answer = make_failure(execution::not_run, cause, step::target, node_id_);
-        answer.load = load();
+        answer.load = load(request.route);
         done(std::move(answer));
         return id;
     }
@@ -175,7 +176,7 @@
     ++totals_.refused;
     auto answer = make_failure(execution::not_run, cause, step::admission, node_id_);
     answer.retry_after = retry_after;
-    answer.load = load();
+    answer.load = load(job->request.route);
     job->done(std::move(answer));
 }
 
@@ -264,6 +265,8 @@
 void target_port::send(const job_ptr& job, const link_ptr& link) {
     job->link = link;
     job->sent = true;
+    running_.erase(job->request.id); // the key must view the job that is found by it
+    running_.emplace(job->request.id, job.get());
     ++totals_.sent;
     link->exchange(make_message(*job), {names_.request_id, job->request.id},
                    [this, job](net::exchange_result result) { on_answer(job, std::move(result)); });
@@ -318,15 +321,28 @@
         deadlines_.remove(*job->deadline);
         job->deadline.reset();
     }
+    forget(*job);
     const auto decisions = controller_->end(job->id, how, runtime_clock::now());
     answer.reached_target = job->sent;
-    answer.load = load();
+    answer.load = load(job->request.route);
     if (job->done) {
         job->done(std::move(answer));
     }
     apply(decisions);
 }
 
+void target_port::forget(const job& gone) {
+    const auto found = running_.find(gone.request.id);
+    if (found != running_.end() && found->second == &gone) {
+        running_.erase(found);
+    }
+}
+
+const relay_request* target_port::find_running(std::string_view request_id) const {
+    const auto found = running_.find(request_id);
+    return found == running_.end() ? nullptr : &found->second->request;
+}
+
 void target_port::on_deadline(const job_ptr& job) {
     if (!jobs_.contains(job->id)) {
         return;
