--- a/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
+++ b/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
@@ -28,6 +28,9 @@
     /** \brief The target has been replaced or restarted: it is cold. */
     void restart() noexcept;
 
+    /** \brief The target has been running for a while: it takes all of its slots at once. */
+    void assume_warm() noexcept;
+
     /** \brief The target shed a request while `in_flight` others ran. */
     void on_shed(int in_flight) noexcept;
 
--- a/libs/admission/include/lavenderhoist/admission/controller.hpp
+++ b/libs/admission/include/lavenderhoist/admission/controller.hpp
@@ -48,6 +48,9 @@
     /** \brief The target was restarted. */
     void restart() noexcept { limit_.restart(); }
 
+    /** \brief The target has been running for a while. */
+    void assume_warm() noexcept { limit_.assume_warm(); }
+
     /** \brief Takes over a changed inventory. */
     void resize(int slots) noexcept { limit_.resize(slots); }
 
--- a/libs/admission/src/concurrency_limit.cpp
+++ b/libs/admission/src/concurrency_limit.cpp
@@ -32,6 +32,11 @@
     slow_start_ = true;
 }
 
+void concurrency_limit::assume_warm() noexcept {
+    limit_ = slots_;
+    slow_start_ = false;
+}
+
 void concurrency_limit::on_shed(int in_flight) noexcept {
     slow_start_ = false;
     if (shed_in_window_) {
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -78,10 +78,12 @@
     if (!controller_) {
         controller_ = std::make_unique<admission::controller>(target_->slots);
     }
+    controller_->resize(target_->slots);
     if (!is_same && target_->cold_left.count() > 0) {
         controller_->restart();
+    } else if (!is_same) {
+        controller_->assume_warm(); // this node was started later than its target
     }
-    controller_->resize(target_->slots);
     if (took_work && !target_->takes_work) {
         refuse_waiting(errc::draining);
     }
