--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -94,6 +94,7 @@
     void refuse(ticket which, errc cause, duration retry_after);
     void refuse_waiting(errc cause);
     void forget_links();
+    void log_level();
 
     boost::asio::any_io_executor executor_;
     const wire_names& names_;
@@ -108,6 +109,7 @@
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
+    admission::priority logged_level_{admission::open_level};
     totals totals_;
 };
 
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -1,6 +1,11 @@
 #include "lavenderhoist/relay/target_port.hpp"
 
+#include "lavenderhoist/logging/log.hpp"
+
+#include <boost/json/object.hpp>
+
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace lavenderhoist::relay {
@@ -29,6 +34,9 @@
 /** When a refused caller may come back, if the admission controller doesn't say. */
 constexpr duration refusal_wait = std::chrono::milliseconds(250);
 
+/** Smaller moves of the admission level are not logged. */
+constexpr admission::priority logged_level_step = admission::cohorts / 4;
+
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 constexpr int status_misdirected = 421;
 constexpr int first_failure_status = 300;
@@ -390,7 +398,26 @@
 void target_port::on_window() {
     if (controller_) {
         apply(controller_->on_window(runtime_clock::now()));
+        log_level();
+    }
+}
+
+void target_port::log_level() {
+    const auto level = controller_->level();
+    const bool opens = level == admission::open_level && logged_level_ != level;
+    if (!opens && std::abs(level - logged_level_) < logged_level_step) {
+        return;
     }
+    logging::log_line(
+        logging::severity::info, "admission level moved",
+        {{"from", logged_level_},
+         {"to", level},
+         {"limit", controller_->limit()},
+         {"at_work", controller_->in_flight()},
+         {"waiting", controller_->waiting()},
+         {"service_ms",
+          std::chrono::duration<double, std::milli>(controller_->service_time()).count()}});
+    logged_level_ = level;
 }
 
 void target_port::close_idle() {
