Limit what a target has in flight of a route whose requests make calls, by their time

Ruled out: the level's arithmetic (it rose within 0.3 s; chains under way go on). objective_limit: in flight falls when over a tenth of the route's requests are past 85% of the objective.

--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -12,6 +12,7 @@
 #include "lavenderhoist/relay/wire_names.hpp"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -64,8 +65,9 @@
     /** \brief Limits for callers of the configuration in force; null before there is one. */
     const mesh::caller_limits* limits();
 
-    /** \brief The admission level that calls made for requests of a route have met lately. */
-    admission::priority callee_level(const std::string& route) const;
+    /** \brief The admission level that calls made for requests of a route have met lately; nothing
+     * if there were none. */
+    std::optional<admission::priority> callee_level(const std::string& route) const;
 
     /** \brief Asks for levels that are in force and were not heard lately. To be called often. */
     void refresh_levels();
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/admission/controller.hpp"
+#include "lavenderhoist/admission/objective_limit.hpp"
 #include "lavenderhoist/net/deadline_queue.hpp"
 #include "lavenderhoist/net/http_link.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
@@ -63,10 +64,12 @@
      */
     const relay_request* find_running(std::string_view request_id) const;
 
-    /** \brief Tells the admission level that the calls made for requests of a route meet. */
-    using callee_level = std::function<admission::priority(const std::string& route)>;
+    /** \brief Tells the admission level that the calls made for requests of a route meet; nothing
+     * if no calls are made for them. */
+    using callee_level =
+        std::function<std::optional<admission::priority>(const std::string& route)>;
 
-    /** \brief Has load reports cover what lies below the target as well. */
+    /** \brief Has decisions and load reports cover what lies below the target as well. */
     void set_callee_level(callee_level below) { callee_level_ = std::move(below); }
 
     /** \brief The load as requests of a route meet it, the calls made for them included. */
@@ -77,6 +80,11 @@
 
 private:
     struct job;
+    /** How many requests of a route that begin here may run at once. */
+    struct route_state {
+        admission::objective_limit limit;
+        duration goal{0};
+    };
     using job_ptr = std::shared_ptr<job>;
     using link_ptr = std::shared_ptr<net::http_link>;
 
@@ -95,6 +103,9 @@
     void refuse_waiting(errc cause);
     void forget_links();
     void log_level();
+    std::optional<admission::priority> level_below(const std::string& route) const;
+    route_state& state_of(const relay_request& request);
+    void leave_route(const job& ended);
 
     boost::asio::any_io_executor executor_;
     const wire_names& names_;
@@ -102,6 +113,7 @@
     net::deadline_queue& deadlines_;
     std::optional<target_settings> target_;
     std::unique_ptr<admission::controller> controller_;
+    std::unordered_map<std::string, route_state> routes_;
     std::unordered_map<ticket, job_ptr> jobs_;
     std::unordered_map<std::string_view, job*> running_; ///< By request id; views into the jobs.
     std::unordered_map<net::http_link*, link_ptr> links_;
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -228,16 +228,17 @@
     return any ? lowest : admission::open_level;
 }
 
-admission::priority entry::callee_level(const std::string& route) const {
+std::optional<admission::priority> entry::callee_level(const std::string& route) const {
     const auto found = callees_.find(route);
     if (found == callees_.end()) {
-        return admission::open_level;
+        return std::nullopt;
     }
     const auto now = runtime_clock::now();
-    auto highest = admission::open_level;
+    std::optional<admission::priority> highest;
     for (const auto& callee : found->second) {
         if (now - callee.last_call < route_memory) {
-            highest = std::max(highest, lowest_level(callee.route, callee.service, now));
+            highest = std::max(highest.value_or(admission::open_level),
+                               lowest_level(callee.route, callee.service, now));
         }
     }
     return highest;
@@ -318,6 +319,7 @@
     request.id = id;
     const auto left = parse_ms(net::find_header(message.fields, names_.time_left_ms));
     request.deadline = now + std::min<duration>(route->timeout, left.value_or(route->timeout));
+    request.objective = std::min(route->objective, route->timeout);
     request.service = choose_service(*route);
     request.caller = settings_.service;
     request.repeatable = route->repeatable;
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -66,6 +66,7 @@
     fields.push_back({"lh-service", request.service});
     fields.push_back({"lh-caller", request.caller});
     fields.push_back({"lh-left-us", std::to_string(in_us(request.deadline - now))});
+    fields.push_back({"lh-objective-us", std::to_string(in_us(request.objective))});
     fields.push_back({"lh-importance", std::to_string(request.importance)});
     if (request.under_way) {
         fields.push_back({"lh-under-way", "1"});
@@ -88,10 +89,12 @@
     request.under_way = !field("lh-under-way").empty();
     request.repeatable = !field("lh-repeatable").empty();
     const auto left = parse<std::int64_t>(field("lh-left-us"));
+    const auto objective = parse<std::int64_t>(field("lh-objective-us"));
     const auto importance = parse<int>(field("lh-importance"));
-    if (request.id.empty() || request.service.empty() || !left || !importance) {
+    if (request.id.empty() || request.service.empty() || !left || !objective || !importance) {
         return std::nullopt;
     }
+    request.objective = std::chrono::microseconds(*objective);
     request.deadline = now + std::chrono::microseconds(*left);
     request.importance = *importance;
     net::remove_headers_with_prefix(message.fields, own_prefix);
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -34,6 +34,10 @@
 /** When a refused caller may come back, if the admission controller doesn't say. */
 constexpr duration refusal_wait = std::chrono::milliseconds(250);
 
+/** Part of a route's objective within which its requests should leave the target; the rest is for
+ * the way and for the spread. */
+constexpr int goal_percent = 85;
+
 /** Smaller moves of the admission level are not logged. */
 constexpr admission::priority logged_level_step = admission::cohorts / 4;
 
@@ -87,6 +91,9 @@
         controller_ = std::make_unique<admission::controller>(target_->slots);
     }
     controller_->resize(target_->slots);
+    if (!is_same) {
+        routes_.clear();
+    }
     if (!is_same && target_->cold_left.count() > 0) {
         controller_->restart();
     } else if (!is_same) {
@@ -117,13 +124,25 @@
     }
 }
 
+std::optional<admission::priority> target_port::level_below(const std::string& route) const {
+    return callee_level_ ? callee_level_(route) : std::nullopt;
+}
+
 load_report target_port::load(const std::string& route) const {
     if (!controller_) {
         return {};
     }
-    const auto below = callee_level_ ? callee_level_(route) : admission::open_level;
-    return {controller_->limit(), controller_->in_flight() + controller_->waiting(),
-            std::max(controller_->level(), below)};
+    const auto known = routes_.find(route);
+    const int busy = controller_->in_flight() + controller_->waiting();
+    const auto below = level_below(route).value_or(admission::open_level);
+    const load_report whole{controller_->limit(), busy, std::max(controller_->level(), below)};
+    if (known == routes_.end()) {
+        return whole;
+    }
+    // The tighter of the two bounds is what requests of the route meet.
+    const auto& limit = known->second.limit;
+    const bool is_tighter = limit.in_flight() * whole.limit > whole.busy * limit.value();
+    return is_tighter ? load_report{limit.value(), limit.in_flight(), whole.level} : whole;
 }
 
 target_port::ticket target_port::submit(relay_request request, done_handler done) {
@@ -146,6 +165,20 @@
         done(std::move(answer));
         return id;
     }
+    // Without calls further down a request holds no slots but its own, which admission counts.
+    if (!request.under_way && level_below(request.route)) {
+        auto& route = state_of(request);
+        if (!route.limit.admits()) {
+            ++totals_.refused;
+            auto answer =
+                make_failure(execution::not_run, errc::overloaded, step::admission, node_id_);
+            answer.retry_after = refusal_wait;
+            answer.load = load(request.route);
+            done(std::move(answer));
+            return id;
+        }
+        route.limit.on_start(id, now);
+    }
     auto made = std::make_shared<job>();
     made->id = id;
     made->request = std::move(request);
@@ -160,6 +193,22 @@
     return id;
 }
 
+target_port::route_state& target_port::state_of(const relay_request& request) {
+    const bool is_cold = target_->cold_left.count() > 0;
+    const auto added = routes_.try_emplace(
+        request.route, route_state{admission::objective_limit(target_->slots, is_cold)});
+    auto& route = added.first->second;
+    route.goal = request.objective * goal_percent / 100;
+    return route;
+}
+
+void target_port::leave_route(const job& ended) {
+    const auto found = routes_.find(ended.request.route);
+    if (found != routes_.end()) {
+        found->second.limit.on_end(ended.id, runtime_clock::now());
+    }
+}
+
 void target_port::apply(const std::vector<admission::decision>& decisions) {
     for (const auto& each : decisions) {
         if (const auto* const run = std::get_if<admission::admitted>(&each)) {
@@ -180,6 +229,7 @@
     }
     const job_ptr job = found->second;
     jobs_.erase(found);
+    leave_route(*job);
     if (job->deadline) {
         deadlines_.remove(*job->deadline);
     }
@@ -332,6 +382,7 @@
         job->deadline.reset();
     }
     forget(*job);
+    leave_route(*job);
     const auto decisions = controller_->end(job->id, how, runtime_clock::now());
     answer.reached_target = job->sent;
     answer.load = load(job->request.route);
@@ -380,6 +431,7 @@
     if (!job->admitted) {
         controller_->cancel(which);
         jobs_.erase(which);
+        leave_route(*job);
         if (job->deadline) {
             deadlines_.remove(*job->deadline);
         }
@@ -400,6 +452,9 @@
         apply(controller_->on_window(runtime_clock::now()));
         log_level();
     }
+    for (auto& [name, route] : routes_) {
+        route.limit.on_window(route.goal, runtime_clock::now());
+    }
 }
 
 void target_port::log_level() {
