Admission: a target that sheds at any load keeps its slots

Cause: while all targets of the deepest service shed half of what they got (srv_grey), each shed lowered the limit by 5% a window, down to 1 slot of 57, and it grew by one a window afterwards: slots stood empty for seconds. Ruled out: ejection (target_state ejects after three failures in a row only). Test: controller.target_that_sheds_at_any_load_keeps_its_slots (limit 1 of 60 before).

--- a/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
+++ b/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
@@ -37,6 +37,12 @@
     /** \brief A request finished. \param in_flight how many ran at its end, itself included. */
     void on_finished(int in_flight) noexcept;
 
+    /** \brief A request left its slot, whatever came of it. */
+    void on_ended() noexcept { ++ended_; }
+
+    /** \brief True while the target sheds whatever it is given. */
+    bool is_faulty() const noexcept;
+
     /** \brief Ends a window. */
     void on_window() noexcept;
 
@@ -44,7 +50,9 @@
     int slots_;
     double limit_;
     int peak_in_flight_{0};
-    bool shed_in_window_{false};
+    int sheds_{0};            ///< In this window.
+    int ended_{0};            ///< In this window, sheds included.
+    int shedding_windows_{0}; ///< Windows in a row in which much was shed.
     bool slow_start_{true};
 };
 
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -68,6 +68,7 @@
     }
     const auto spent = now - found->second.since;
     limit_.on_finished(in_flight());
+    limit_.on_ended();
     running_.erase(found);
     if (how == finish::shed) {
         limit_.on_shed(in_flight());
--- a/libs/admission/test/controller_test.cpp
+++ b/libs/admission/test/controller_test.cpp
@@ -47,6 +47,26 @@
     }
 }
 
+// The load pattern: for ten seconds the target sheds half of what it is given, at any load.
+TEST(controller, target_that_sheds_at_any_load_keeps_its_slots) {
+    controller control(60);
+    control.assume_warm();
+    auto now = start;
+    std::uint64_t id = 0;
+    for (int window = 0; window < 100; ++window) {
+        const auto first = id + 1;
+        for (int i = 0; i < 60; ++i) {
+            control.offer({++id, 700, false, now + std::chrono::seconds(1)}, now);
+        }
+        now += controller::window_length;
+        for (auto one = first; one <= id; ++one) {
+            control.end(one, one % 2 == 0 ? finish::shed : finish::answered, now);
+        }
+        control.on_window(now);
+    }
+    EXPECT_GE(control.limit(), 50);
+}
+
 } // namespace
 
 // The model depends on the decisions, so oracle and subject advance together, command by command.
