--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -428,7 +428,10 @@
             asio::post(context_, [done] { done->set(); });
         });
     co_await done->wait(runtime_clock::now() + peer_timeout);
-    co_return plain(status_ok, done->is_set() ? *text : "");
+    *text += "hosts_known " + std::to_string(directory_.hosts().size()) + "\nstore_calls " +
+             std::to_string(store_.calls()) + "\nconfiguration_version " +
+             std::to_string(table_ ? table_->version() : 0) + '\n';
+    co_return plain(status_ok, *text);
 }
 
 } // namespace lavenderhoist::agent
--- a/libs/net/src/beast_convert.cpp
+++ b/libs/net/src/beast_convert.cpp
@@ -68,7 +68,7 @@
     result.version(http_1_1);
     result.method_string(message.method);
     result.target(message.path);
-    result.set(http::field::host, host);
+    result.set(http::field::host, message.host.empty() ? host : message.host);
     copy_fields(message.fields, result);
     result.body() = message.body;
     result.prepare_payload();
--- /dev/null
+++ b/tests/platform/control_test.cpp
@@ -0,0 +1,151 @@
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <future>
+
+namespace lavenderhoist::platform_test {
+namespace {
+
+TEST(platform_control, a_changed_route_is_in_force_within_a_second) {
+    world here;
+    here.add_host("first");
+    here.add_host("second");
+    here.publish({{"/x/", "first"}, {"/y/", "second"}});
+    ASSERT_TRUE(here.settle());
+    here.publish({{"/x/", "second"}, {"/y/", "second"}});
+    EXPECT_TRUE(wait_until(
+        [&] {
+            return here.ask(here.at(0), "GET", "/x/1", here.make_id()).answer.body ==
+                   "target-2 ran /x/1";
+        },
+        std::chrono::seconds(1)));
+}
+
+TEST(platform_control, a_leaving_target_gets_nothing_after_its_acknowledgement) {
+    world here;
+    here.add_host("back");
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.at(0).target->leave(); });
+    EXPECT_EQ(here.await([&] { return here.at(0).target->beat(); }), 200);
+    const auto before = here.run_here([&] { return here.at(0).target->executions().size(); });
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(here.ask(here.at(0), "GET", "/back/x", here.make_id()).answer.status, 200);
+    }
+    EXPECT_EQ(here.run_here([&] { return here.at(0).target->executions().size(); }), before);
+}
+
+TEST(platform_control, a_sign_off_binds_a_restarted_node) {
+    world here;
+    here.add_host("back");
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    EXPECT_EQ(here.await([&] { return here.at(0).target->sign_off(); }), 200);
+    here.at(0).node->kill();
+    here.start_node(here.at(0));
+    ASSERT_TRUE(wait_until([&] { return here.ready_status(here.at(0)) == 200; }));
+    // A heartbeat that was on its way when the target signed off.
+    EXPECT_EQ(here.await([&] { return here.at(0).target->beat(); }), 200);
+    const auto before = here.run_here([&] { return here.at(0).target->executions().size(); });
+    for (int i = 0; i < 20; ++i) {
+        here.ask(here.at(0), "GET", "/back/x", here.make_id());
+    }
+    EXPECT_EQ(here.run_here([&] { return here.at(0).target->executions().size(); }), before);
+}
+
+TEST(platform_control, leaves_are_acknowledged_while_the_store_is_away) {
+    world here;
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] {
+        here.store().present_faults().status = 503;
+        here.at(0).target->leave();
+    });
+    EXPECT_EQ(here.await([&] { return here.at(0).target->beat(); }), 200);
+}
+
+TEST(platform_control, a_node_started_while_the_store_is_away_serves_with_what_others_know) {
+    world here;
+    here.add_host("back");
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.store().present_faults().status = 503; });
+    here.at(1).node->kill();
+    here.start_node(here.at(1));
+    ASSERT_TRUE(wait_until([&] { return here.ready_status(here.at(1)) == 200; }));
+    EXPECT_TRUE(wait_until([&] {
+        return here.ask(here.at(1), "GET", "/back/x", here.make_id()).answer.status == 200;
+    }));
+}
+
+TEST(platform_control, records_that_have_expired_are_listed_again) {
+    world here;
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.store().present_faults().status = 503; });
+    ASSERT_TRUE(wait_until([&] { return true; }));
+    here.publish({{"/back/", "back"}, {"/late/", "back"}});
+    here.run_here([&] {
+        here.store().forget_history();
+        here.store().present_faults().status = 0;
+    });
+    EXPECT_TRUE(wait_until([&] {
+        return here.ask(here.at(0), "GET", "/late/x", here.make_id()).answer.status == 200;
+    }));
+}
+
+TEST(platform_control, a_write_without_an_answer_is_made_again) {
+    world here;
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] {
+        here.store().present_faults().loses_writes = true;
+        here.at(0).target->leave();
+    });
+    EXPECT_EQ(here.await([&] { return here.at(0).target->beat(); }), 200);
+    EXPECT_NE(here.run_here([&] { return here.store().newest_host_record(here.at(0).id); })
+                  .find("leaving"),
+              std::string::npos);
+}
+
+TEST(platform_control, a_stopping_node_finishes_what_it_has_and_ends_in_time) {
+    world here;
+    here.add_host("back", "a", {}, milliseconds(800));
+    here.publish({{"/back/", "back", false}});
+    ASSERT_TRUE(here.settle());
+    const auto id = here.make_id();
+    auto pending =
+        std::async(std::launch::async, [&] { return here.ask(here.at(0), "POST", "/back/x", id); });
+    ASSERT_TRUE(wait_until([&] { return here.executions(id) == 1; }));
+    here.at(0).node->send(SIGTERM);
+    EXPECT_TRUE(
+        wait_until([&] { return here.ready_status(here.at(0)) == 503; }, std::chrono::seconds(1)));
+    EXPECT_EQ(pending.get().answer.status, 200);
+    // Callers go on for two seconds, until they have seen twice that the node is not ready.
+    EXPECT_EQ(here.ask(here.at(0), "POST", "/back/x", here.make_id()).answer.status, 200);
+    EXPECT_EQ(here.at(0).node->wait(std::chrono::seconds(6)), 0);
+}
+
+TEST(platform_control, signals_to_read_settings_again_end_nothing) {
+    world here;
+    here.add_host("back", "a", {}, milliseconds(300));
+    here.publish({{"/back/", "back", false}});
+    ASSERT_TRUE(here.settle());
+    auto pending = std::async(std::launch::async, [&] {
+        return here.ask(here.at(0), "POST", "/back/x", here.make_id());
+    });
+    here.at(0).node->send(SIGHUP);
+    EXPECT_EQ(pending.get().answer.status, 200);
+    EXPECT_TRUE(here.at(0).node->is_running());
+}
+
+} // namespace
+} // namespace lavenderhoist::platform_test
--- /dev/null
+++ b/tests/platform/path_test.cpp
@@ -0,0 +1,116 @@
+#include "world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lavenderhoist::platform_test {
+namespace {
+
+TEST(platform_path, a_request_passes_through_two_nodes_and_its_call_through_two_more) {
+    world here;
+    here.add_host("front", "a", {{"/front/", world::host_name, "/deep/x"}});
+    here.add_host("deep");
+    here.publish({{"/front/", "front"}, {"/deep/", "deep"}});
+    ASSERT_TRUE(here.settle());
+
+    const auto id = here.make_id();
+    const auto result = here.ask(here.at(1), "GET", "/front/y?q=1", id, 1'500);
+    ASSERT_FALSE(result.code);
+    EXPECT_EQ(result.answer.status, 200);
+    EXPECT_EQ(result.answer.body, "target-1 ran /front/y?q=1");
+    EXPECT_EQ(net::find_header(result.answer.fields, "x-response-signature"), "signed-by-target-1");
+    EXPECT_EQ(net::find_header(result.answer.fields, "x-request-id"), id);
+    EXPECT_EQ(here.executions(id), 1);
+    EXPECT_EQ(here.executions(id + ".1"), 1);
+    here.run_here([&] {
+        const auto& ran = here.at(0).target->executions().back();
+        EXPECT_EQ(ran.caller, "deep"); // the service on whose host the request began
+        EXPECT_LE(ran.time_left_ms, 1'500);
+        EXPECT_GT(ran.time_left_ms, 1'000);
+        EXPECT_EQ(here.at(1).target->executions().back().caller, "front");
+    });
+}
+
+TEST(platform_path, what_no_route_allows_is_not_found_and_reaches_nobody) {
+    world here;
+    here.add_host("front");
+    here.publish({{"/front/", "front"}});
+    ASSERT_TRUE(here.settle());
+    const auto id = here.make_id();
+    EXPECT_EQ(here.ask(here.at(0), "GET", "/other/x", id).answer.status, 404);
+    EXPECT_EQ(here.executions(id), 0);
+}
+
+TEST(platform_path, without_a_configuration_callers_are_told_when_to_come_back) {
+    world here;
+    auto& only = here.add_host("front");
+    ASSERT_TRUE(wait_until([&] { return here.ready_status(only) != 0; }));
+    const auto result = here.ask(only, "GET", "/front/x", here.make_id());
+    EXPECT_EQ(result.answer.status, 503);
+    EXPECT_FALSE(net::find_header(result.answer.fields, "retry-after").empty());
+    EXPECT_EQ(here.ready_status(only), 503);
+}
+
+TEST(platform_path, a_shedding_target_is_replaced_by_another_one) {
+    world here;
+    here.add_host("front");
+    here.add_host("front");
+    here.publish({{"/front/", "front", false}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.at(0).target->present_faults().sheds = true; });
+    const auto id = here.make_id();
+    EXPECT_EQ(here.ask(here.at(0), "POST", "/front/x", id).answer.status, 200);
+    EXPECT_EQ(here.executions(id), 1);
+}
+
+TEST(platform_path, a_refusal_says_not_run_and_is_true) {
+    world here;
+    here.add_host("front");
+    here.publish({{"/front/", "front", false}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.at(0).target->present_faults().sheds = true; });
+    const auto id = here.make_id();
+    const auto result = here.ask(here.at(0), "POST", "/front/x", id);
+    EXPECT_EQ(result.answer.status, 503);
+    EXPECT_FALSE(net::find_header(result.answer.fields, "retry-after").empty());
+    EXPECT_EQ(here.executions(id), 0);
+}
+
+TEST(platform_path, a_request_past_its_time_is_answered_without_a_promise) {
+    world here;
+    here.add_host("front");
+    here.publish({{"/front/", "front", false}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.at(0).target->present_faults().hangs = true; });
+    const auto id = here.make_id();
+    const auto began = runtime_clock::now();
+    const auto result = here.ask(here.at(0), "POST", "/front/x", id, 400);
+    EXPECT_EQ(result.answer.status, 504);
+    EXPECT_LT(runtime_clock::now() - began, milliseconds(700));
+    EXPECT_EQ(here.executions(id), 1);
+}
+
+TEST(platform_path, a_killed_node_never_makes_an_order_run_twice) {
+    world here;
+    here.add_host("front");
+    here.add_host("back");
+    here.add_host("back");
+    here.publish({{"/back/", "back", false}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] {
+        here.at(1).target->present_faults().hangs = true;
+        here.at(2).target->present_faults().hangs = true;
+    });
+    const auto id = here.make_id();
+    std::thread killer([&] {
+        EXPECT_TRUE(wait_until([&] { return here.executions(id) == 1; }));
+        here.at(1).node->kill();
+        here.at(2).node->kill();
+    });
+    const auto result = here.ask(here.at(0), "POST", "/back/x", id);
+    killer.join();
+    EXPECT_EQ(result.answer.status, 502);
+    EXPECT_EQ(here.executions(id), 1);
+}
+
+} // namespace
+} // namespace lavenderhoist::platform_test
--- /dev/null
+++ b/tests/platform/world.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "lavenderhoist/harness/process.hpp"
+#include "lavenderhoist/net/exchange_result.hpp"
+#include "lavenderhoist/platform/stub_backend.hpp"
+#include "lavenderhoist/platform/stub_store.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <array>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lavenderhoist::platform_test {
+
+/** \brief One host: an lh-sidecar process and, in this process, the stand-in of its target. */
+struct host {
+    std::string id;
+    config::address callers;
+    config::address calls;
+    config::address control;
+    config::address ready;
+    config::address metrics;
+    std::string settings_file;
+    std::string log_file;
+    std::unique_ptr<harness::process> node;
+    std::unique_ptr<platform::stub_backend> target;
+};
+
+/** \brief A route of the configuration. */
+struct route_spec {
+    std::string prefix;
+    std::string service;
+    bool repeatable{true};
+    int timeout_ms{2'000};
+    int priority{1};
+};
+
+/**
+ * \brief A deployment on the platform without the bench: stand-ins for the store and the targets in
+ * this process, nodes as processes of their own.
+ */
+class world {
+public:
+    world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+    ~world();
+
+    /** \brief Adds a host with a target of a service, and starts both. */
+    host& add_host(const std::string& service, const std::string& data_centre = "a",
+                   std::vector<platform::stub_call> calls = {},
+                   duration service_time = std::chrono::milliseconds(2));
+
+    void start_node(host& which);
+
+    /** \brief Publishes the routes as the next version. */
+    void publish(const std::vector<route_spec>& routes);
+
+    /** \brief Waits until every node is ready and a request reaches each service of the routes. */
+    bool settle(duration timeout = std::chrono::seconds(10));
+
+    /** \brief Sends a request to a node, on a connection of its own. */
+    net::exchange_result ask(const host& through, const std::string& method,
+                             const std::string& path, const std::string& id,
+                             int time_left_ms = 2'000, const std::string& body = "");
+
+    /** \brief A fresh request id. */
+    std::string make_id();
+
+    int ready_status(const host& which);
+
+    /** \brief A number of a node's metrics; -1 if it has none of that name. */
+    std::int64_t metric(const host& which, const std::string& name);
+
+    /** \brief Runs on the stand-ins' thread and returns what `work` returns. */
+    template <typename Work>
+    auto run_here(Work work) {
+        std::promise<decltype(work())> done;
+        boost::asio::post(context_, [&] {
+            if constexpr (std::is_void_v<decltype(work())>) {
+                work();
+                done.set_value();
+            } else {
+                done.set_value(work());
+            }
+        });
+        return done.get_future().get();
+    }
+
+    /** \brief Runs a coroutine on the stand-ins' thread and waits for its result. */
+    int await(const std::function<boost::asio::awaitable<int>()>& work);
+
+    /** \brief How often a request ran, over all targets. */
+    int executions(const std::string& id);
+
+    platform::stub_store& store() noexcept { return *store_; }
+    host& at(std::size_t index) { return *hosts_.at(index); }
+    std::size_t size() const noexcept { return hosts_.size(); }
+
+    static constexpr const char* host_name = "test.example";
+
+private:
+    static std::uint16_t free_port();
+    void write_settings(host& which, const std::string& service, const std::string& data_centre);
+
+    boost::asio::io_context context_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+    std::string folder_;
+    config::address store_address_;
+    std::array<std::uint16_t, 6> ports_{};
+    std::unique_ptr<platform::stub_store> store_;
+    std::vector<std::unique_ptr<host>> hosts_;
+    std::vector<route_spec> routes_;
+    int version_{0};
+    int last_id_{0};
+};
+
+/** \brief Waits until `is_met`. \returns false if it was not by `timeout`. */
+bool wait_until(const std::function<bool()>& is_met, duration timeout = std::chrono::seconds(5));
+
+} // namespace lavenderhoist::platform_test
