--- a/cmake/lavenderhoist.cmake
+++ b/cmake/lavenderhoist.cmake
@@ -11,7 +11,7 @@
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE lh_${name} GTest::gtest_main ${RAPIDCHECK_LIBRARY})
     set_target_properties(test_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/libs)
-    add_test(NAME ${name} COMMAND test_${name})
+    gtest_discover_tests(test_${name} PROPERTIES TIMEOUT 120 LABELS unit)
   endif()
 endfunction()
 
