HTTP/2 server: drain by the shutdown notice, which proves nothing about streams

Cause: drain() named the last stream processed so far, the frame was written after the present event, and a stream in between was handled although the frame proved it unprocessed. Ruled out: the attempt plan (it was given never_processed).

--- a/libs/net/src/h2_server.cpp
+++ b/libs/net/src/h2_server.cpp
@@ -48,8 +48,9 @@
     }
 
     void drain() {
-        const auto last = nghttp2_session_get_last_proc_stream_id(session());
-        nghttp2_submit_goaway(session(), NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        // The notice names no last stream: streams that are on their way are still served, and a
+        // last stream named now could be passed by others before the frame is written.
+        nghttp2_submit_shutdown_notice(session());
         flush();
     }
 
