Nodes compare the versions of what they know

Cause: the answer to its wait for records was lost; a wait ends after 20 s. Ruled out: a rejected configuration (none logged). Weighed: shorter waits (17 nodes x 2 topics x a price a call). Now each node asks another one every 0.4 s how new its state is, and takes its state when it is behind twice in a row. Test: platform_control.a_lost_answer_to_a_wait_is_made_up_for_by_another_node, red without the comparison.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -62,6 +62,8 @@
     boost::asio::awaitable<void> publish_loop();
     boost::asio::awaitable<void> peer_loop();
     boost::asio::awaitable<void> ask_peer(net::tcp::endpoint peer);
+    boost::asio::awaitable<void> compare_with(net::tcp::endpoint peer);
+    std::int64_t newest_host_offset() const;
     std::vector<net::tcp::endpoint> peers_to_ask() const;
     void take_shared_state(const std::string& text);
     topic_follower::events events_for(topic which);
@@ -80,6 +82,7 @@
     std::unique_ptr<net::http_server> metrics_;
     mesh::directory directory_;
     mesh::target_lifecycle target_;
+    time_point last_comparison_;
     mesh::routing_table_ptr table_;
     std::string configuration_text_;
     std::shared_ptr<const std::vector<mesh::host_record>> listed_hosts_;
@@ -92,6 +95,7 @@
     time_point started_;
     bool restored_{false}; ///< It is known what this host published before.
     bool hosts_are_current_{false};
+    bool was_behind_{false}; ///< At the last comparison; news takes a moment to arrive.
     bool stopping_{false};
 };
 
--- a/libs/agent/include/lavenderhoist/agent/shared_state.hpp
+++ b/libs/agent/include/lavenderhoist/agent/shared_state.hpp
@@ -15,6 +15,15 @@
     std::vector<mesh::placed_record> hosts;
 };
 
+/** \brief How new a node's state is. */
+struct shared_versions {
+    std::uint64_t configuration{0};
+    std::int64_t newest_host{-1}; ///< Highest offset of its host records.
+};
+
+std::string encode(const shared_versions& versions);
+std::optional<shared_versions> decode_versions(std::string_view text);
+
 std::string encode(const shared_state& state);
 
 /** \returns nothing if the text is no such state. */
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -36,6 +36,10 @@
 constexpr duration peer_interval = std::chrono::milliseconds(250);
 constexpr duration peer_timeout = std::chrono::milliseconds(400);
 
+/** Between two comparisons of versions with another node. A wait for records whose answer is lost
+ * ends only after its whole length; other nodes show earlier that there was one. */
+constexpr duration comparison_interval = std::chrono::milliseconds(400);
+
 constexpr duration first_publish_pause = std::chrono::milliseconds(100);
 constexpr duration longest_publish_pause = std::chrono::milliseconds(800);
 
@@ -223,7 +227,8 @@
     for (const auto& [id, placed] : directory_.hosts()) {
         state.hosts.push_back(placed);
     }
-    data_.set_shared_state(std::make_shared<const std::string>(encode(state)));
+    const shared_versions versions{table_ ? table_->version() : 0, newest_host_offset()};
+    data_.set_shared_state({std::make_shared<const std::string>(encode(state)), encode(versions)});
 }
 
 void control_worker::take_shared_state(const std::string& text) {
@@ -387,16 +392,49 @@
                      {{"reason", "neither the store nor another node answered"}});
             restore_own_record();
         }
-        if (!configuration_.is_lost() && !hosts_.is_lost() && table_) {
+        const auto peers = peers_to_ask();
+        if (peers.empty()) {
             continue;
         }
-        const auto peers = peers_to_ask();
-        if (!peers.empty()) {
-            co_await ask_peer(peers[random_() % peers.size()]);
+        const auto peer = peers[random_() % peers.size()];
+        if (configuration_.is_lost() || hosts_.is_lost() || !table_) {
+            co_await ask_peer(peer);
+        } else if (runtime_clock::now() - last_comparison_ > comparison_interval) {
+            last_comparison_ = runtime_clock::now();
+            co_await compare_with(peer);
         }
     }
 }
 
+std::int64_t control_worker::newest_host_offset() const {
+    std::int64_t newest = -1;
+    for (const auto& [id, placed] : directory_.hosts()) {
+        newest = std::max(newest, placed.offset);
+    }
+    return newest;
+}
+
+asio::awaitable<void> control_worker::compare_with(net::tcp::endpoint peer) {
+    net::request question;
+    question.method = "GET";
+    question.path = relay::data_worker::versions_path;
+    const auto answer = co_await peers_.exchange(
+        peer, question, runtime_clock::now() + peer_timeout, peer_timeout, nullptr);
+    const auto theirs = answer.code ? std::nullopt : decode_versions(answer.answer.body);
+    if (!theirs) {
+        co_return; // it is down or starting; the next comparison is with another node
+    }
+    const bool is_behind =
+        theirs->configuration > table_->version() || theirs->newest_host > newest_host_offset();
+    if (is_behind && std::exchange(was_behind_, true)) {
+        log_line(
+            severity::warning, "behind another node",
+            {{"configuration", table_->version()}, {"their_configuration", theirs->configuration}});
+        co_await ask_peer(peer);
+    }
+    was_behind_ = is_behind;
+}
+
 asio::awaitable<void> control_worker::ask_peer(net::tcp::endpoint peer) {
     const net::request question{"GET", std::string(relay::data_worker::state_path), {}, {}};
     const auto answer = co_await peers_.exchange(
--- a/libs/agent/src/shared_state.cpp
+++ b/libs/agent/src/shared_state.cpp
@@ -6,6 +6,22 @@
 
 namespace json = boost::json;
 
+std::string encode(const shared_versions& versions) {
+    return json::serialize(json::object{{"configuration", versions.configuration},
+                                        {"newest_host", versions.newest_host}});
+}
+
+std::optional<shared_versions> decode_versions(std::string_view text) {
+    try {
+        const auto parsed = json::parse(text);
+        const auto& object = parsed.as_object();
+        return shared_versions{object.at("configuration").to_number<std::uint64_t>(),
+                               object.at("newest_host").to_number<std::int64_t>()};
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encode(const shared_state& state) {
     json::array hosts;
     for (const auto& each : state.hosts) {
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -18,6 +18,12 @@
     net::tcp::endpoint calls;   ///< Streams of other nodes.
 };
 
+/** \brief What other nodes get that ask this one for its control state; opaque here. */
+struct shared_texts {
+    std::shared_ptr<const std::string> state;
+    std::string versions; ///< Short: how new the state is.
+};
+
 /** \brief A glance at the request path, for readiness, stopping and metrics. */
 struct data_status {
     std::size_t requests{0};   ///< Of callers, not answered yet.
@@ -43,8 +49,7 @@
 
     void set_target(std::optional<target_settings> target);
 
-    /** \brief What other nodes get that ask this one for its control state. */
-    void set_shared_state(std::shared_ptr<const std::string> state);
+    void set_shared_state(shared_texts texts);
 
     /** \brief Stops in order: answers end their connections, other nodes open no more streams. */
     void begin_stop();
@@ -60,6 +65,7 @@
 
     /** \brief Path at which other nodes ask for set_shared_state()'s text. */
     static constexpr std::string_view state_path = "/lh/state";
+    static constexpr std::string_view versions_path = "/lh/versions";
 
 private:
     struct implementation;
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -45,6 +45,7 @@
     void tick();
     void sweep();
     void serve_stream(net::request message, net::h2_call_ptr call);
+    bool serve_shared(const net::request& message, const net::h2_call_ptr& call) const;
     void take_limits();
 
     entry_settings settings;
@@ -59,7 +60,7 @@
     std::shared_ptr<net::http_limits> limits;
     std::shared_ptr<net::http_session::events> events;
     std::unordered_set<std::shared_ptr<net::http_session>> sessions;
-    std::shared_ptr<const std::string> shared_state;
+    shared_texts shared;
     net::timer ticker;
     int ticks{0};
     std::atomic<time_point::rep> last_turn{0};
@@ -118,13 +119,23 @@
     });
 }
 
+bool data_worker::implementation::serve_shared(const net::request& message,
+                                               const net::h2_call_ptr& call) const {
+    const bool wants_state = message.path == state_path;
+    const bool wants_versions = message.path == versions_path;
+    if ((!wants_state && !wants_versions) || !net::find_header(message.fields, "lh-id").empty()) {
+        return false;
+    }
+    net::response answer;
+    constexpr int status_ok = 200;
+    answer.status = status_ok;
+    answer.body = wants_versions ? shared.versions : shared.state ? *shared.state : "";
+    call->answer(answer);
+    return true;
+}
+
 void data_worker::implementation::serve_stream(net::request message, net::h2_call_ptr call) {
-    if (message.path == state_path && net::find_header(message.fields, "lh-id").empty()) {
-        net::response state;
-        constexpr int status_ok = 200;
-        state.status = status_ok;
-        state.body = shared_state ? *shared_state : "";
-        call->answer(state);
+    if (serve_shared(message, call)) {
         return;
     }
     if (const auto route = parse_load_question(message)) {
@@ -216,9 +227,10 @@
     });
 }
 
-void data_worker::set_shared_state(std::shared_ptr<const std::string> state) {
-    asio::post(implementation_->context,
-               [this, state = std::move(state)] { implementation_->shared_state = state; });
+void data_worker::set_shared_state(shared_texts texts) {
+    asio::post(implementation_->context, [this, texts = std::move(texts)]() mutable {
+        implementation_->shared = std::move(texts);
+    });
 }
 
 void data_worker::begin_stop() {
--- a/tests/platform/control_test.cpp
+++ b/tests/platform/control_test.cpp
@@ -101,6 +101,24 @@
     }));
 }
 
+TEST(platform_control, a_lost_answer_to_a_wait_is_made_up_for_by_another_node) {
+    world here;
+    here.add_host("back");
+    here.add_host("back");
+    here.publish({{"/back/", "back"}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.store().present_faults().waits_to_lose = 1; });
+    here.publish({{"/back/", "back"}, {"/late/", "back"}});
+    for (std::size_t i = 0; i < here.size(); ++i) {
+        EXPECT_TRUE(wait_until(
+            [&] {
+                return here.ask(here.at(i), "GET", "/late/x", here.make_id()).answer.status == 200;
+            },
+            std::chrono::seconds(2)))
+            << "node " << i;
+    }
+}
+
 TEST(platform_control, a_write_without_an_answer_is_made_again) {
     world here;
     here.add_host("back");
