A stopping node refuses streams before it ends

Ruled out: the caller's own node (it was stopping too, but answered 502 only because the stream broke). Now the node refuses streams as not run, closes its listeners, and looks again.

--- a/libs/agent/src/sidecar.cpp
+++ b/libs/agent/src/sidecar.cpp
@@ -73,6 +73,7 @@
     void check_settings(std::string_view why);
     asio::awaitable<void> watch_settings();
     asio::awaitable<void> stop();
+    asio::awaitable<void> wait_idle(time_point last);
     asio::awaitable<relay::data_status> data_status();
 
     agent_settings settings;
@@ -136,6 +137,15 @@
     co_return *result;
 }
 
+asio::awaitable<void> sidecar::implementation::wait_idle(time_point last) {
+    bool is_busy = true;
+    while (is_busy && runtime_clock::now() < last) {
+        co_await net::sleep_for(context.get_executor(), stop_poll);
+        const auto status = co_await data_status();
+        is_busy = status.requests + status.at_target > 0;
+    }
+}
+
 asio::awaitable<void> sidecar::implementation::stop() {
     const auto began = runtime_clock::now();
     const auto last = began + settings.grace - end_reserve;
@@ -143,14 +153,12 @@
     control.begin_stop();
     data.begin_stop();
     co_await net::sleep_until(context.get_executor(), std::min(began + notice_time, last));
-    data.refuse_callers();
-    bool is_busy = true;
-    while (is_busy && runtime_clock::now() < last) {
-        co_await net::sleep_for(context.get_executor(), stop_poll);
-        const auto status = co_await data_status();
-        is_busy = status.requests + status.at_target > 0;
-    }
+    data.refuse_new();
+    co_await wait_idle(last);
+    // Only calls of the own target could still come; without listeners and idle connections they
+    // can't, so nothing begins after the last look.
     data.close_listeners();
+    co_await wait_idle(last);
     const auto status = co_await data_status();
     log_line(severity::info, "stopped",
              {{"requests_left", status.requests}, {"at_target", status.at_target}});
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -53,8 +53,8 @@
     /** \brief Stops in order: answers end their connections, other nodes open no more streams. */
     void begin_stop();
 
-    /** \brief Refuses further requests of callers. */
-    void refuse_callers();
+    /** \brief Refuses further requests of callers and further streams of other nodes. */
+    void refuse_new();
 
     /** \brief Closes the listeners and the connections without a request. */
     void close_listeners();
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -47,6 +47,9 @@
      * work any more; those at work go on. */
     void set_target(const std::optional<target_settings>& target);
 
+    /** \brief Refuses further requests as not run; those it has go on. */
+    void refuse_all() noexcept { refusing_ = true; }
+
     /** \brief Hands over a request; `done` is called once, possibly at once, unless cancelled. */
     ticket submit(relay_request request, done_handler done);
 
@@ -121,6 +124,7 @@
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
+    bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
     totals totals_;
 };
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -240,8 +240,11 @@
     });
 }
 
-void data_worker::refuse_callers() {
-    asio::post(implementation_->context, [this] { implementation_->front.refuse_callers(); });
+void data_worker::refuse_new() {
+    asio::post(implementation_->context, [this] {
+        implementation_->front.refuse_callers();
+        implementation_->own_target.refuse_all();
+    });
 }
 
 void data_worker::close_listeners() {
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -151,7 +151,7 @@
     errc cause = errc::ok;
     if (!target_ || target_->service != request.service) {
         cause = errc::no_target;
-    } else if (!target_->takes_work) {
+    } else if (!target_->takes_work || refusing_) {
         cause = errc::draining;
     } else if (now < down_until_) {
         cause = errc::target_lost;
--- a/tests/platform/control_test.cpp
+++ b/tests/platform/control_test.cpp
@@ -156,40 +156,80 @@
     EXPECT_EQ(here.at(0).node->wait(std::chrono::seconds(6)), 0);
 }
 
+/** Callers of one node that ask all the time, and what was wrong with their answers. */
+class steady_callers {
+public:
+    steady_callers(world& where, const host& through, const std::string& path) {
+        for (int i = 0; i < 4; ++i) {
+            threads_.emplace_back([&where, &through, path, this] { ask(where, through, path); });
+        }
+    }
+    steady_callers(const steady_callers&) = delete;
+    steady_callers& operator=(const steady_callers&) = delete;
+    ~steady_callers() { stop(); }
+
+    void stop() {
+        stop_ = true;
+        for (auto& each : threads_) {
+            if (each.joinable()) {
+                each.join();
+            }
+        }
+    }
+
+    int refused_and_ran() const { return refused_and_ran_; }
+    int cut() const { return cut_; } ///< Ran, and the caller got no answer of the target.
+
+private:
+    void ask(world& where, const host& through, const std::string& path) {
+        while (!stop_) {
+            std::string id;
+            {
+                const std::lock_guard<std::mutex> lock(ids_);
+                id = where.make_id();
+            }
+            const auto result = where.ask(through, "POST", path, id);
+            const int ran = where.executions(id);
+            const bool has_answer = !result.code && result.answer.status == 200;
+            refused_and_ran_ += !result.code && result.answer.status == 503 && ran > 0 ? 1 : 0;
+            cut_ += !has_answer && ran > 0 ? 1 : 0;
+        }
+    }
+
+    std::atomic<bool> stop_{false};
+    std::atomic<int> refused_and_ran_{0};
+    std::atomic<int> cut_{0};
+    std::mutex ids_;
+    std::vector<std::thread> threads_;
+};
+
 // Callers that never stop: the node refuses them after some time, as not run, and ends in time.
 TEST(platform_control, a_stopping_node_ends_in_time_under_steady_load) {
     world here;
     here.add_host("back", "a", {}, milliseconds(100));
     here.publish({{"/back/", "back", false}});
     ASSERT_TRUE(here.settle());
-    std::atomic<bool> stop{false};
-    std::atomic<int> untrue{0};
-    std::atomic<int> cut{0};
-    std::mutex ids;
-    std::vector<std::thread> callers;
-    for (int i = 0; i < 4; ++i) {
-        callers.emplace_back([&] {
-            while (!stop) {
-                std::string id;
-                {
-                    const std::lock_guard<std::mutex> lock(ids);
-                    id = here.make_id();
-                }
-                const auto result = here.ask(here.at(0), "POST", "/back/x", id);
-                const int ran = here.executions(id);
-                untrue += result.answer.status == 503 && ran > 0 ? 1 : 0;
-                cut += result.code && ran > 0 ? 1 : 0;
-            }
-        });
-    }
+    steady_callers callers(here, here.at(0), "/back/x");
     here.at(0).node->send(SIGTERM);
     EXPECT_EQ(here.at(0).node->wait(std::chrono::seconds(6)), 0);
-    stop = true;
-    for (auto& each : callers) {
-        each.join();
-    }
-    EXPECT_EQ(untrue, 0);
-    EXPECT_EQ(cut, 0);
+    callers.stop();
+    EXPECT_EQ(callers.refused_and_ran(), 0);
+    EXPECT_EQ(callers.cut(), 0);
+}
+
+// The only node of a service stops while another node goes on sending streams to it.
+TEST(platform_control, a_stopping_node_cuts_no_stream_of_another_node) {
+    world here;
+    here.add_host("front");
+    here.add_host("back", "a", {}, milliseconds(60));
+    here.publish({{"/back/", "back", false}});
+    ASSERT_TRUE(here.settle());
+    steady_callers callers(here, here.at(0), "/back/x");
+    here.at(1).node->send(SIGTERM);
+    EXPECT_EQ(here.at(1).node->wait(std::chrono::seconds(6)), 0);
+    callers.stop();
+    EXPECT_EQ(callers.refused_and_ran(), 0);
+    EXPECT_EQ(callers.cut(), 0);
 }
 
 TEST(platform_control, signals_to_read_settings_again_end_nothing) {
