--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -396,7 +396,7 @@
         if (peers.empty()) {
             continue;
         }
-        const auto peer = peers[random_() % peers.size()];
+        const auto& peer = peers[random_() % peers.size()];
         if (configuration_.is_lost() || hosts_.is_lost() || !table_) {
             co_await ask_peer(peer);
         } else if (runtime_clock::now() - last_comparison_ > comparison_interval) {
--- a/libs/net/include/lavenderhoist/net/h2_connection.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_connection.hpp
@@ -21,6 +21,8 @@
 class h2_connection : public byte_stream {
 public:
     h2_connection(tcp::socket socket, std::size_t max_body_bytes);
+    h2_connection(const h2_connection&) = delete;
+    h2_connection& operator=(const h2_connection&) = delete;
     ~h2_connection() override;
 
     /** \brief Begins to read and sends the preface; call once the object is shared. */
--- a/libs/net/include/lavenderhoist/net/http_link.hpp
+++ b/libs/net/include/lavenderhoist/net/http_link.hpp
@@ -31,6 +31,8 @@
     using lost_handler = std::function<void(http_link&)>;
 
     explicit http_link(tcp::socket socket, std::size_t max_body_bytes);
+    http_link(const http_link&) = delete;
+    http_link& operator=(const http_link&) = delete;
     ~http_link() override;
 
     void start(lost_handler lost);
--- a/libs/net/include/lavenderhoist/net/http_session.hpp
+++ b/libs/net/include/lavenderhoist/net/http_session.hpp
@@ -31,6 +31,8 @@
     /** \param bounds may change while the session lives. */
     http_session(tcp::socket socket, std::shared_ptr<const http_limits> bounds,
                  std::shared_ptr<const events> handlers);
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
     ~http_session() override;
 
     void start() { start_reading(); }
