--- a/libs/relay/include/lavenderhoist/relay/attempt_plan.hpp
+++ b/libs/relay/include/lavenderhoist/relay/attempt_plan.hpp
@@ -41,6 +41,12 @@
 
     next_step on_answer(const relay_answer& answer, duration time_left) noexcept;
 
+    /**
+     * \brief True if another target may be asked although the last one has answered, because its
+     * answer is a failure of its own.
+     */
+    bool may_ask_another(duration time_left) const noexcept;
+
     /** \brief What is proven of the whole request, when it is given up now. */
     execution proven() const noexcept;
 
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -99,6 +99,8 @@
     void try_target(const pending_ptr& request, const known_target_ptr& target);
     void on_answer(const pending_ptr& request, const known_target_ptr& target, relay_answer answer);
     static void note_health(known_target& target, const relay_answer& answer, time_point now);
+    bool is_worth_another(const pending& request, const known_target& target,
+                          const relay_answer& answer, time_point now) const;
     bool take_repeat(const std::string& service);
     mesh::repeat_budget::limits budget_limits() const;
     void on_deadline(const pending_ptr& request);
--- a/libs/relay/src/attempt_plan.cpp
+++ b/libs/relay/src/attempt_plan.cpp
@@ -21,6 +21,11 @@
     return answer.reached_target ? next_step::repeat : next_step::place_again;
 }
 
+bool attempt_plan::may_ask_another(duration time_left) const noexcept {
+    return repeatable_ && !open_ && reached_ < attempts_ && placements_ < max_placements &&
+           time_left >= least_time;
+}
+
 execution attempt_plan::proven() const noexcept {
     return may_have_run_ || open_ ? execution::unknown : execution::not_run;
 }
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -19,6 +19,7 @@
 
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
+constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -93,6 +94,7 @@
     std::optional<net::deadline_queue::ticket> deadline;
     time_point began;
     relay_answer last_failure;
+    std::optional<net::response> own_failure; ///< A target's answer that another may replace.
     bool finished{false};
 };
 
@@ -450,6 +452,15 @@
     target.health().on_answer();
 }
 
+bool entry::is_worth_another(const pending& request, const known_target& target,
+                             const relay_answer& answer, time_point now) const {
+    // Under overload a failure often comes from a refused call, and a repeat would add to the load.
+    const bool is_loaded = target.level(request.route->name, now) > admission::open_level ||
+                           target.option(request.route->name, now).load > mesh::placement::room;
+    return answer.message.status == status_server_error && !is_loaded &&
+           request.plan.may_ask_another(request.request.deadline - now);
+}
+
 void entry::on_answer(const pending_ptr& request, const known_target_ptr& target,
                       relay_answer answer) {
     const auto now = runtime_clock::now();
@@ -462,6 +473,13 @@
     const auto next = request->plan.on_answer(answer, request->request.deadline - now);
     switch (next) {
     case next_step::deliver:
+        if (is_worth_another(*request, *target, answer, now) &&
+            take_repeat(request->request.service)) {
+            counters_.count("repeats");
+            request->own_failure = std::move(answer.message);
+            place(request);
+            return;
+        }
         deliver(request, std::move(answer.message));
         return;
     case next_step::repeat:
@@ -508,6 +526,10 @@
 }
 
 void entry::give_up(const pending_ptr& request, const relay_answer& last) {
+    if (request->own_failure) {
+        deliver(request, std::move(*request->own_failure));
+        return;
+    }
     const auto now = runtime_clock::now();
     const bool has_not_run = request->plan.proven() == execution::not_run;
     const bool is_late = last.failure.code == errc::deadline_passed;
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -62,6 +62,26 @@
     EXPECT_EQ(here.executions(id), 1);
 }
 
+TEST(platform_path, a_failure_of_one_target_is_replaced_if_the_request_may_be_repeated) {
+    world here;
+    here.add_host("front");
+    here.add_host("front");
+    here.publish({{"/read/", "front", true}, {"/order/", "front", false}});
+    ASSERT_TRUE(here.settle());
+    here.run_here([&] { here.at(0).target->present_faults().status = 500; });
+    const auto read = here.make_id();
+    EXPECT_EQ(here.ask(here.at(0), "GET", "/read/x", read).answer.status, 200);
+    EXPECT_EQ(here.executions(read), 2);
+    const auto order = here.make_id();
+    EXPECT_EQ(here.ask(here.at(0), "POST", "/order/x", order).answer.status, 500);
+    EXPECT_EQ(here.executions(order), 1);
+    // If the other one fails as well, the caller gets a target's answer and not one of the node's.
+    here.run_here([&] { here.at(1).target->present_faults().status = 500; });
+    const auto failed = here.ask(here.at(0), "GET", "/read/x", here.make_id());
+    EXPECT_EQ(failed.answer.status, 500);
+    EXPECT_FALSE(net::find_header(failed.answer.fields, "x-response-signature").empty());
+}
+
 TEST(platform_path, a_refusal_says_not_run_and_is_true) {
     world here;
     here.add_host("front");
