Sheds eject no more than half of a service's targets; failure repeats stay within 1 in 100

Ruled out: want of slots. Repeats after a target's own failure now stay within 1 in 100 requests. Tests: platform_path.failures_of_a_common_cause_are_hardly_repeated.

--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -23,8 +23,10 @@
         std::function<void()> on_regained;
     };
 
+    /** \param gather how long to wait after records for those that follow: changes come in series,
+     * and every call has a price. */
     topic_follower(boost::asio::any_io_executor executor, store_client& store, topic which,
-                   events handlers);
+                   duration gather, events handlers);
 
     /** \brief Runs until the executor's context stops. */
     boost::asio::awaitable<void> run();
@@ -40,6 +42,7 @@
     boost::asio::any_io_executor executor_;
     store_client& store_;
     topic which_;
+    duration gather_;
     events handlers_;
     std::mt19937_64 random_;
     std::int64_t next_offset_{0};
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -46,6 +46,12 @@
 /** The request path counts as stuck, and the node as not ready, after this time without a turn. */
 constexpr duration data_stuck_time = std::chrono::seconds(2);
 
+/** How long records are gathered before the next wait. Configurations must be in force within two
+ * seconds; of hosts that leave, the own node refuses work at once, so their records may take
+ * longer. */
+constexpr duration configuration_gather = std::chrono::milliseconds(80);
+constexpr duration hosts_gather = std::chrono::milliseconds(500);
+
 constexpr std::size_t max_peer_answer_bytes = 16U << 20U;
 
 net::tcp::endpoint endpoint_of(const config::address& where) {
@@ -89,9 +95,9 @@
       views_(views),
       data_(data),
       store_(context.get_executor(), endpoint_of(settings.store), codec),
-      configuration_(context.get_executor(), store_, topic::configuration,
+      configuration_(context.get_executor(), store_, topic::configuration, configuration_gather,
                      events_for(topic::configuration)),
-      hosts_(context.get_executor(), store_, topic::hosts, events_for(topic::hosts)),
+      hosts_(context.get_executor(), store_, topic::hosts, hosts_gather, events_for(topic::hosts)),
       peers_(context.get_executor(), max_peer_answer_bytes),
       listed_hosts_(std::make_shared<std::vector<mesh::host_record>>()),
       publish_wake_(context.get_executor()),
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -14,16 +14,14 @@
 constexpr duration first_pause = std::chrono::milliseconds(50);
 constexpr duration longest_pause = std::chrono::milliseconds(800);
 
-/** Changes come in series; reading them together saves calls. */
-constexpr duration gather_time = std::chrono::milliseconds(80);
-
 } // namespace
 
 topic_follower::topic_follower(asio::any_io_executor executor, store_client& store, topic which,
-                               events handlers)
+                               duration gather, events handlers)
     : executor_(std::move(executor)),
       store_(store),
       which_(which),
+      gather_(gather),
       handlers_(std::move(handlers)),
       random_(std::random_device()()) {}
 
@@ -76,7 +74,7 @@
     }
     if (!batch->records.empty()) {
         handlers_.on_current();
-        co_await net::sleep_for(executor_, gather_time);
+        co_await net::sleep_for(executor_, gather_);
     }
 }
 
--- a/libs/agent/test/topic_follower_test.cpp
+++ b/libs/agent/test/topic_follower_test.cpp
@@ -75,7 +75,9 @@
             [this](net::request message, std::string /*peer*/, net::cancellation_ptr /*gone*/) {
                 return answer(std::move(message));
             },
-            [](int status, std::string_view /*reason*/) { return net::response{status, {}, ""}; });
+            [](int status, std::string_view /*reason*/) {
+                return net::response{status, {}, ""};
+            });
         server_->start();
     }
 
@@ -98,7 +100,8 @@
         events.on_current = [] {};
         events.on_lost = [this](const std::string& reason) { lost_.push_back(reason); };
         events.on_regained = [this] { ++regained_; };
-        topic_follower follower(context_.get_executor(), store, topic::hosts, events);
+        topic_follower follower(context_.get_executor(), store, topic::hosts, milliseconds(20),
+                                events);
         net::spawn(context_, follower.run());
         context_.run_for(std::chrono::seconds(5));
     }
@@ -117,7 +120,8 @@
 TEST_F(follower_test, a_store_that_is_away_at_first_is_asked_again) {
     serve({503, 503, 200, 200, 503});
     follow();
-    EXPECT_EQ(asked_, (std::vector<std::string>{"/newest", "/newest", "/newest", "/read", "/read"}));
+    EXPECT_EQ(asked_,
+              (std::vector<std::string>{"/newest", "/newest", "/newest", "/read", "/read"}));
     EXPECT_EQ(seen_, (std::vector<std::string>{"/newest", "/read"}));
     EXPECT_EQ(lost_, std::vector<std::string>{"status 503"});
     EXPECT_EQ(regained_, 1);
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -98,10 +98,13 @@
                                               time_point now);
     void try_target(const pending_ptr& request, const known_target_ptr& target);
     void on_answer(const pending_ptr& request, const known_target_ptr& target, relay_answer answer);
-    static void note_health(known_target& target, const relay_answer& answer, time_point now);
+    void note_health(const std::string& service, known_target& target, const relay_answer& answer,
+                     time_point now);
+    bool may_eject_for_shedding(const std::string& service, time_point now) const;
     bool is_worth_another(const pending& request, const known_target& target,
                           const relay_answer& answer, time_point now) const;
     bool take_repeat(const std::string& service);
+    bool take_failure_repeat(const std::string& service);
     mesh::repeat_budget::limits budget_limits() const;
     void on_deadline(const pending_ptr& request);
     void deliver(const pending_ptr& request, net::response message);
--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -44,6 +44,9 @@
     /** \brief An answer to a request of a route has brought this report. */
     void on_report(const std::string& route, const load_report& report, time_point now);
 
+    /** \brief How long ago its node last reported its load. */
+    duration report_age(time_point now) const noexcept { return now - reported_; }
+
     routing::target_state& health() noexcept { return health_; }
 
 private:
@@ -59,6 +62,7 @@
     /** By route: the level of an answer covers the calls made for it, which differ by route. */
     std::unordered_map<std::string, heard_level> levels_;
     load_report last_;
+    time_point reported_{};
     int sent_since_report_{0};
 };
 
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/admission/controller.hpp"
 #include "lavenderhoist/admission/objective_limit.hpp"
+#include "lavenderhoist/logging/line_budget.hpp"
 #include "lavenderhoist/net/deadline_queue.hpp"
 #include "lavenderhoist/net/http_link.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
@@ -106,6 +107,7 @@
     void refuse_waiting(errc cause);
     void forget_links();
     void log_level();
+    void log_failure(const relay_request& request, const relay_answer& answer);
     std::optional<admission::priority> level_below(const std::string& route) const;
     route_state& state_of(const relay_request& request);
     void leave_route(const job& ended);
@@ -124,6 +126,7 @@
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
+    logging::line_budget failure_lines_;
     bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
     totals totals_;
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -48,6 +48,11 @@
 /** Questions for one route at a time; a service may have many targets. */
 constexpr int questions_per_route = 4;
 
+/** Of a service's requests, the share that may be repeated after a target's own failure: many times
+ * what targets fail by themselves. More of them fail for a common cause below, and repeating them
+ * would multiply the calls to it. */
+constexpr double failure_repeat_ratio = 0.01;
+
 /** Log lines a second: enough to explain single requests, bounded under load. */
 constexpr double failure_lines_per_second = 10;
 constexpr double success_lines_per_second = 0.5;
@@ -102,6 +107,7 @@
 struct entry::known_service {
     std::vector<known_target_ptr> targets;
     mesh::repeat_budget budget;
+    mesh::repeat_budget failure_budget; ///< Of repeats after a target's own failure.
     std::unordered_map<std::string, time_point> wanted; ///< By route: its last request here.
 };
 
@@ -194,6 +200,13 @@
     return services_[service].budget.take(runtime_clock::now(), budget_limits());
 }
 
+bool entry::take_failure_repeat(const std::string& service) {
+    const auto bounds = budget_limits();
+    const mesh::repeat_budget::limits own{failure_repeat_ratio, 0, bounds.window};
+    auto& known = services_[service];
+    return known.failure_budget.take(runtime_clock::now(), own) && take_repeat(service);
+}
+
 const std::string& entry::choose_service(const mesh::route& route) {
     int total = 0;
     for (const auto& each : route.destinations) {
@@ -357,6 +370,7 @@
     }
     auto& service = services_[request->request.service];
     service.budget.on_request(request->began, budget_limits());
+    service.failure_budget.on_request(request->began, budget_limits());
     service.wanted[request->route->name] = request->began;
     pending_[session.get()] = request;
     request->deadline = deadlines_.add(request->request.deadline + answer_grace, [this, request] {
@@ -440,12 +454,22 @@
     }
 }
 
-void entry::note_health(known_target& target, const relay_answer& answer, time_point now) {
+bool entry::may_eject_for_shedding(const std::string& service, time_point now) const {
+    const auto& targets = services_.at(service).targets;
+    const auto available = std::ranges::count_if(
+        targets, [now](const known_target_ptr& each) { return each->takes_work(now); });
+    return available * 2 > static_cast<std::ptrdiff_t>(targets.size()) + 1;
+}
+
+void entry::note_health(const std::string& service, known_target& target,
+                        const relay_answer& answer, time_point now) {
     const bool is_absent =
         answer.failure.code == errc::peer_lost || answer.failure.code == errc::target_lost ||
         answer.failure.code == errc::no_target || answer.failure.code == errc::draining;
-    const bool has_shed = answer.failure.code == errc::target_shed;
-    if (is_absent || has_shed) {
+    // Where most targets shed, the few that are left would get everything and be overloaded.
+    const bool sheds_alone =
+        answer.failure.code == errc::target_shed && may_eject_for_shedding(service, now);
+    if (is_absent || sheds_alone) {
         target.health().on_failure(now);
         return;
     }
@@ -466,7 +490,7 @@
     const auto now = runtime_clock::now();
     request->sent_to.reset();
     request->cancel = nullptr;
-    note_health(*target, answer, now);
+    note_health(request->request.service, *target, answer, now);
     if (answer.load) {
         target->on_report(request->route->name, *answer.load, now);
     }
@@ -474,8 +498,8 @@
     switch (next) {
     case next_step::deliver:
         if (is_worth_another(*request, *target, answer, now) &&
-            take_repeat(request->request.service)) {
-            counters_.count("repeats");
+            take_failure_repeat(request->request.service)) {
+            counters_.count("failure_repeats");
             request->own_failure = std::move(answer.message);
             place(request);
             return;
@@ -606,8 +630,15 @@
         {"tries", request.plan.placements()},
         {"configuration", request.table->version()},
     };
+    const auto now = runtime_clock::now();
+    details["left_ms"] = in_ms(request.request.deadline - now);
+    details["level"] = lowest_level(request.route->name, request.request.service, now);
     if (!request.tried.empty()) {
-        details["target"] = request.tried.back()->record().id;
+        const auto& last = *request.tried.back();
+        details["target"] = last.record().id;
+        details["target_level"] = last.level(request.route->name, now);
+        details["target_load"] = last.option(request.route->name, now).load;
+        details["report_age_ms"] = in_ms(last.report_age(now));
     }
     if (failed != nullptr) {
         details["cause"] = failed->failure.code.message();
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -38,6 +38,7 @@
 
 void known_target::on_report(const std::string& route, const load_report& report, time_point now) {
     last_ = report;
+    reported_ = now;
     sent_since_report_ = 0;
     auto& heard = levels_[route];
     heard.memory.hear(report.level, now);
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -41,6 +41,9 @@
 /** Smaller moves of the admission level are not logged. */
 constexpr admission::priority logged_level_step = admission::cohorts / 4;
 
+/** Log lines a second about requests that got no answer of the target. */
+constexpr double failure_lines_per_second = 5;
+
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 constexpr int status_misdirected = 421;
 constexpr int first_failure_status = 300;
@@ -66,7 +69,8 @@
     : executor_(std::move(executor)),
       names_(names),
       node_id_(std::move(node_id)),
-      deadlines_(deadlines) {}
+      deadlines_(deadlines),
+      failure_lines_(failure_lines_per_second) {}
 
 target_port::~target_port() {
     forget_links();
@@ -162,6 +166,7 @@
         ++totals_.refused;
         auto answer = make_failure(execution::not_run, cause, step::target, node_id_);
         answer.load = load(request.route);
+        log_failure(request, answer);
         done(std::move(answer));
         return id;
     }
@@ -174,6 +179,7 @@
                 make_failure(execution::not_run, errc::overloaded, step::admission, node_id_);
             answer.retry_after = refusal_wait;
             answer.load = load(request.route);
+            log_failure(request, answer);
             done(std::move(answer));
             return id;
         }
@@ -237,6 +243,7 @@
     auto answer = make_failure(execution::not_run, cause, step::admission, node_id_);
     answer.retry_after = retry_after;
     answer.load = load(job->request.route);
+    log_failure(job->request, answer);
     job->done(std::move(answer));
 }
 
@@ -386,6 +393,9 @@
     const auto decisions = controller_->end(job->id, how, runtime_clock::now());
     answer.reached_target = job->sent;
     answer.load = load(job->request.route);
+    if (answer.result != execution::answered) {
+        log_failure(job->request, answer);
+    }
     if (job->done) {
         job->done(std::move(answer));
     }
@@ -457,6 +467,30 @@
     }
 }
 
+void target_port::log_failure(const relay_request& request, const relay_answer& answer) {
+    const auto now = runtime_clock::now();
+    if (!failure_lines_.take(now)) {
+        return;
+    }
+    boost::json::object details{
+        {"request", request.id},
+        {"route", request.route},
+        {"importance", request.importance},
+        {"under_way", request.under_way},
+        {"cause", answer.failure.code.message()},
+        {"step", to_string(answer.failure.where)},
+        {"execution", to_string(answer.result)},
+        {"left_ms", std::chrono::duration<double, std::milli>(request.deadline - now).count()},
+        {"target", target_ ? target_->id : ""}};
+    if (controller_) {
+        details["at_work"] = controller_->in_flight();
+        details["waiting"] = controller_->waiting();
+        details["limit"] = controller_->limit();
+        details["level"] = controller_->level();
+    }
+    logging::log_line(logging::severity::warning, "no answer of the target", std::move(details));
+}
+
 void target_port::log_level() {
     const auto level = controller_->level();
     const bool opens = level == admission::open_level && logged_level_ != level;
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -68,6 +68,10 @@
     here.add_host("front");
     here.publish({{"/read/", "front", true}, {"/order/", "front", false}});
     ASSERT_TRUE(here.settle());
+    // The share of requests that may be repeated for this must hold one first.
+    for (int i = 0; i < 250; ++i) {
+        here.ask(here.at(0), "GET", "/read/x", here.make_id());
+    }
     here.run_here([&] { here.at(0).target->present_faults().status = 500; });
     const auto read = here.make_id();
     EXPECT_EQ(here.ask(here.at(0), "GET", "/read/x", read).answer.status, 200);
@@ -82,6 +86,24 @@
     EXPECT_FALSE(net::find_header(failed.answer.fields, "x-response-signature").empty());
 }
 
+// The load pattern: every request fails since its call does. Repeats stay within the small share.
+TEST(platform_path, failures_of_a_common_cause_are_hardly_repeated) {
+    world here;
+    here.add_host("front", "a", {{"/read/", world::host_name, "/nowhere/x"}});
+    here.add_host("front", "a", {{"/read/", world::host_name, "/nowhere/x"}});
+    here.publish({{"/front/", "front", true}, {"/read/", "front", true}});
+    ASSERT_TRUE(wait_until([&] {
+        return here.metric(here.at(0), "hosts_known") == 2 && here.ready_status(here.at(0)) == 200;
+    }));
+    int repeats = 0;
+    for (int i = 0; i < 300; ++i) {
+        const auto id = here.make_id();
+        EXPECT_EQ(here.ask(here.at(0), "GET", "/read/x", id).answer.status, 500);
+        repeats += here.executions(id) - 1;
+    }
+    EXPECT_LE(repeats, 3);
+}
+
 TEST(platform_path, a_refusal_says_not_run_and_is_true) {
     world here;
     here.add_host("front");
