--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -468,7 +468,8 @@
         [this, done, text](const relay::data_status& status, const metrics::recorder& counters) {
             flatten(counters.to_json(), "", *text);
             *text += "requests_in_flight " + std::to_string(status.requests) + "\nat_target " +
-                     std::to_string(status.at_target) + '\n';
+                     std::to_string(status.at_target) + "\ntarget_connections_opened " +
+                     std::to_string(status.target_connections) + '\n';
             asio::post(context_, [done] { done->set(); });
         });
     co_await done->wait(runtime_clock::now() + peer_timeout);
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -26,8 +26,9 @@
 
 /** \brief A glance at the request path, for readiness, stopping and metrics. */
 struct data_status {
-    std::size_t requests{0};  ///< Of callers, not answered yet.
-    std::size_t at_target{0}; ///< Waiting for or at the own target.
+    std::size_t requests{0};             ///< Of callers, not answered yet.
+    std::size_t at_target{0};            ///< Waiting for or at the own target.
+    std::uint64_t target_connections{0}; ///< Opened so far.
 };
 
 /**
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -103,6 +103,7 @@
     link_ptr take_idle_link();
     void finish(const job_ptr& job, relay_answer answer, admission::finish how);
     void forget(const job& gone);
+    void finish_abandoned(const job_ptr& job);
     void refuse(ticket which, errc cause, duration retry_after);
     void refuse_waiting(errc cause);
     void forget_links();
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -261,7 +261,9 @@
 void data_worker::inspect(std::function<void(const data_status&, const metrics::recorder&)> take) {
     asio::post(implementation_->context, [this, take = std::move(take)] {
         const auto& self = *implementation_;
-        take({self.front.in_flight(), self.own_target.in_flight()}, self.counters);
+        take({self.front.in_flight(), self.own_target.in_flight(),
+              self.own_target.counted().connections},
+             self.counters);
     });
 }
 
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -34,6 +34,13 @@
 /** When a refused caller may come back, if the admission controller doesn't say. */
 constexpr duration refusal_wait = std::chrono::milliseconds(250);
 
+/** Where requests take less time than this, one whose caller has gone is left to finish: breaking
+ * it off closes its connection, and opening another one costs the target more. */
+constexpr duration short_service_time = std::chrono::milliseconds(60);
+
+/** How long it may take then; callers' going must reach the target within half a second. */
+constexpr duration abandoned_time = std::chrono::milliseconds(200);
+
 /** Part of a route's objective within which its requests should leave the target; the rest is for
  * the way and for the spread. */
 constexpr int goal_percent = 85;
@@ -450,6 +457,10 @@
     if (job->sent && !job->request.repeatable) {
         return; // it may be half done: let it finish
     }
+    if (job->sent && controller_->service_time() < short_service_time) {
+        finish_abandoned(job);
+        return;
+    }
     if (const auto link = std::exchange(job->link, nullptr)) {
         link->give_up();
     }
@@ -457,6 +468,17 @@
            admission::finish::failed);
 }
 
+void target_port::finish_abandoned(const job_ptr& job) {
+    if (job->deadline) {
+        deadlines_.remove(*job->deadline);
+    }
+    const auto latest = std::min(job->request.deadline, runtime_clock::now() + abandoned_time);
+    job->deadline = deadlines_.add(latest, [this, job] {
+        job->deadline.reset();
+        on_deadline(job);
+    });
+}
+
 void target_port::on_window() {
     if (controller_) {
         apply(controller_->on_window(runtime_clock::now()));
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -131,6 +131,19 @@
     EXPECT_EQ(here.executions(id), 1);
 }
 
+TEST(platform_path, requests_whose_callers_go_leave_the_connections_open) {
+    world here;
+    here.add_host("front", "a", {}, milliseconds(20));
+    here.publish({{"/front/", "front", true}});
+    ASSERT_TRUE(here.settle());
+    const auto before = here.metric(here.at(0), "target_connections_opened");
+    for (int i = 0; i < 20; ++i) {
+        here.leave_early(here.at(0), "/front/x", milliseconds(10));
+    }
+    EXPECT_LE(here.metric(here.at(0), "target_connections_opened") - before, 3);
+    EXPECT_TRUE(wait_until([&] { return here.metric(here.at(0), "at_target") == 0; }));
+}
+
 TEST(platform_path, a_killed_node_never_makes_an_order_run_twice) {
     world here;
     here.add_host("front");
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -218,6 +218,16 @@
                          milliseconds(time_left_ms) + std::chrono::seconds(1));
 }
 
+void world::leave_early(const host& through, const std::string& path, duration after) {
+    net::request message;
+    message.method = "GET";
+    message.path = path;
+    message.host = host_name;
+    message.fields.push_back({"x-request-id", make_id()});
+    message.fields.push_back({"x-deadline-ms", "2000"});
+    harness::call(through.callers, message, after);
+}
+
 int world::await(const std::function<boost::asio::awaitable<int>()>& work) {
     std::promise<int> done;
     boost::asio::post(context_, [&] { net::spawn(context_, complete(work(), done)); });
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -72,6 +72,9 @@
                              const std::string& path, const std::string& id,
                              int time_left_ms = 2'000, const std::string& body = "");
 
+    /** \brief Sends a request and closes the connection after a while without waiting for it. */
+    void leave_early(const host& through, const std::string& path, duration after);
+
     /** \brief A fresh request id. */
     std::string make_id();
 
