--- a/libs/admission/include/lavenderhoist/admission/objective_limit.hpp
+++ b/libs/admission/include/lavenderhoist/admission/objective_limit.hpp
@@ -37,14 +37,18 @@
     int in_flight() const noexcept { return static_cast<int>(started_.size()); }
 
 private:
+    void lower() noexcept;
+    void grow() noexcept;
+
     int slots_;
     double limit_;
     double congested_at_{0}; ///< What was in flight when requests were last late.
     duration goal_{0};
-    int in_time_{0}; ///< Ended in this window.
+    int in_time_{0}; ///< Ended since then.
     int late_{0};
-    int peak_{0}; ///< Most in flight in this window.
-    int windows_to_hold_{0};
+    int peak_{0};         ///< Most in flight since then.
+    int windows_{0};      ///< Since the limit was last judged.
+    bool lowered_{false}; ///< By the last judgement.
     std::unordered_map<std::uint64_t, time_point> started_;
 };
 
--- a/libs/admission/src/objective_limit.cpp
+++ b/libs/admission/src/objective_limit.cpp
@@ -15,7 +15,9 @@
 constexpr double near_from = 0.85;  // of that limit
 constexpr double forgetting = 1.01; // a window: what was too much may not be for ever
 constexpr double used_share = 0.7;  // of the limit must be in use for it to grow
-constexpr int hold_windows = 3;     // after lowering: what is in flight still shows the old limit
+constexpr int least_seen = 20;      // requests, to judge by
+constexpr int least_late = 2;       // requests
+constexpr int most_windows = 5;     // after which fewer will do
 
 } // namespace
 
@@ -39,30 +41,51 @@
 
 void objective_limit::on_window(duration goal, time_point now) noexcept {
     goal_ = goal;
+    ++windows_;
+    congested_at_ *= forgetting;
     int overdue = 0;
     for (const auto& [id, since] : started_) {
         overdue += now - since > goal ? 1 : 0;
     }
     const int late = late_ + overdue;
     const int seen = late + in_time_;
-    congested_at_ *= forgetting;
-    if (late > seen * late_share && windows_to_hold_ == 0) {
-        congested_at_ = std::min<double>(limit_, in_flight());
-        limit_ = std::max(least_limit, std::min<double>(limit_, in_flight()) * lowering);
-        windows_to_hold_ = hold_windows;
-    } else if (windows_to_hold_ > 0) {
-        --windows_to_hold_;
-    } else if (peak_ >= limit_ * used_share) {
-        const bool is_near = limit_ > congested_at_ * near_from && limit_ < congested_at_;
-        const double step = is_near ? std::max(least_near_step, limit_ * near_growth)
-                                    : std::max(1.0, limit_ * growth);
-        limit_ = std::min<double>(slots_, limit_ + step);
+    // One late request of a few is chance.
+    if (seen < least_seen && windows_ < most_windows) {
+        return;
     }
+    if (late >= least_late && late > seen * late_share) {
+        lower();
+    } else {
+        grow();
+    }
+    windows_ = 0;
     in_time_ = 0;
     late_ = 0;
     peak_ = in_flight();
 }
 
+void objective_limit::lower() noexcept {
+    // What is in flight still shows the limit before for a while.
+    if (lowered_) {
+        lowered_ = false;
+        return;
+    }
+    congested_at_ = std::min<double>(limit_, in_flight());
+    limit_ = std::max(least_limit, congested_at_ * lowering);
+    lowered_ = true;
+}
+
+void objective_limit::grow() noexcept {
+    lowered_ = false;
+    if (peak_ < limit_ * used_share) {
+        return;
+    }
+    const bool is_near = limit_ > congested_at_ * near_from && limit_ < congested_at_;
+    const double step =
+        is_near ? std::max(least_near_step, limit_ * near_growth) : std::max(1.0, limit_ * growth);
+    limit_ = std::min<double>(slots_, limit_ + step * windows_);
+}
+
 void objective_limit::resize(int slots) noexcept {
     slots_ = std::max(1, slots);
     limit_ = std::min<double>(limit_, slots_);
--- a/libs/admission/test/objective_limit_test.cpp
+++ b/libs/admission/test/objective_limit_test.cpp
@@ -71,6 +71,27 @@
     EXPECT_GE(in_time, 200 * 10 * 85 / 100);
 }
 
+// The load pattern: few requests a window, one in twenty late by itself, far below the slots.
+TEST(objective_limit, single_late_requests_do_not_lower_it) {
+    objective_limit limit(60, false);
+    time_point now{std::chrono::hours(1)};
+    std::uint64_t id = 0;
+    int refused = 0;
+    for (int i = 0; i < 600; ++i) {
+        for (int n = 0; n < 5; ++n) {
+            refused += limit.admits() ? 0 : 1;
+            ++id;
+            limit.on_start(id, now);
+            const bool is_late = id % 20 == 0;
+            limit.on_end(id, is_late ? now + goal * 2 : now + goal / 3);
+        }
+        now += window;
+        limit.on_window(goal, now);
+    }
+    EXPECT_EQ(refused, 0);
+    EXPECT_EQ(limit.value(), 60);
+}
+
 TEST(objective_limit, recovers_when_the_cause_has_passed) {
     objective_limit limit(200, false);
     bottleneck slow(2);
