--- /dev/null
+++ b/tests/platform/fault_proxy.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "lavenderhoist/config/address.hpp"
+#include "lavenderhoist/net/endpoint.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+
+namespace lavenderhoist::platform_test {
+
+/** \brief What a fault_proxy does with the bytes of its connections. */
+enum class proxy_mode : std::uint8_t {
+    pass,
+    delay,         ///< Bytes pass later.
+    drop_answers,  ///< Bytes towards the server pass, those back are dropped.
+    drop_requests, ///< The other way round.
+    silent,        ///< No bytes pass; new connections are accepted.
+};
+
+/** \brief Passes TCP connections on to a server on loopback, with faults. Lives on one executor. */
+class fault_proxy {
+public:
+    fault_proxy(boost::asio::io_context& context, const config::address& listen,
+                const config::address& server);
+
+    void start();
+    void set_mode(proxy_mode mode) noexcept { mode_ = mode; }
+
+    /** \brief Resets every open connection. */
+    void reset_all();
+
+private:
+    struct pair;
+    using pair_ptr = std::shared_ptr<pair>;
+
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> connect(pair_ptr connection);
+    boost::asio::awaitable<void> pump(pair_ptr connection, bool towards_server);
+
+    boost::asio::io_context& context_;
+    net::tcp::acceptor acceptor_;
+    net::tcp::endpoint server_;
+    proxy_mode mode_{proxy_mode::pass};
+    std::set<pair_ptr> pairs_;
+};
+
+} // namespace lavenderhoist::platform_test
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -94,7 +94,7 @@
                             {"control", config::to_string(which.control)},
                             {"ready", config::to_string(which.ready)},
                             {"metrics", config::to_string(which.metrics)}}},
-                          {"store", config::to_string(store_address_)},
+                          {"store", which.callers.host + ":" + std::to_string(ports_[7])},
                           {"contacts", json::array{"127.0.0.2:" + std::to_string(ports_[2])}},
                           {"repeats", {{"ratio", 0.2}, {"extra", 48}, {"window_ms", 10'000}}},
                           {"grace_ms", grace_ms}};
@@ -118,6 +118,8 @@
     settings.id = "target-" + std::to_string(hosts_.size() + 1);
     settings.service = service;
     settings.where = {ip, ports_[5]};
+    settings.announced = {ip, ports_[6]};
+    const config::address store_proxy{ip, ports_[7]};
     settings.control = made->control;
     settings.outbound = made->callers;
     settings.service_time = service_time;
@@ -125,6 +127,13 @@
     made->target = run_here([&] {
         return std::make_unique<platform::stub_backend>(context_.get_executor(), settings);
     });
+    run_here([&] {
+        made->to_target =
+            std::make_unique<fault_proxy>(context_, settings.announced, settings.where);
+        made->to_store = std::make_unique<fault_proxy>(context_, store_proxy, store_address_);
+        made->to_target->start();
+        made->to_store->start();
+    });
     write_settings(*made, service, data_centre);
     start_node(*made);
     run_here([&] { made->target->start(); });
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fault_proxy.hpp"
+
 #include "lavenderhoist/harness/process.hpp"
 #include "lavenderhoist/net/exchange_result.hpp"
 #include "lavenderhoist/platform/stub_backend.hpp"
@@ -32,6 +34,8 @@
     std::string log_file;
     std::unique_ptr<harness::process> node;
     std::unique_ptr<platform::stub_backend> target;
+    std::unique_ptr<fault_proxy> to_target; ///< Between the node and its target.
+    std::unique_ptr<fault_proxy> to_store;  ///< Between the node and the store.
 };
 
 /** \brief A route of the configuration. */
@@ -119,7 +123,7 @@
     std::thread thread_;
     std::string folder_;
     config::address store_address_;
-    std::array<std::uint16_t, 6> ports_{};
+    std::array<std::uint16_t, 8> ports_{};
     std::unique_ptr<platform::stub_store> store_;
     std::vector<std::unique_ptr<host>> hosts_;
     std::vector<route_spec> routes_;
--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,187 @@
+#include "faults.hpp"
+
+#include "lavenderhoist/harness/http.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace lavenderhoist::soak {
+
+using platform_test::host;
+using platform_test::proxy_mode;
+
+namespace {
+
+constexpr int most_pause_between_ms = 350;
+constexpr int longest_fault_ms = 1'200;
+constexpr int longest_freeze_ms = 800;
+constexpr duration step = milliseconds(20);
+constexpr duration stop_limit = std::chrono::seconds(7);
+
+} // namespace
+
+fault_plan::fault_plan(platform_test::world& where, std::uint64_t seed)
+    : world_(where), random_(seed) {}
+
+void fault_plan::note(const std::string& what, const host* victim) {
+    history_.push_back(victim == nullptr ? what : what + " " + victim->id);
+}
+
+void fault_plan::later(int most_ms, std::function<void()> lift) {
+    lifts_.push_back({runtime_clock::now() + milliseconds(50 + draw(most_ms)), std::move(lift)});
+}
+
+void fault_plan::run(duration length) {
+    const auto until = runtime_clock::now() + length;
+    auto next = runtime_clock::now();
+    while (runtime_clock::now() < until) {
+        if (runtime_clock::now() >= next) {
+            inject();
+            next = runtime_clock::now() + milliseconds(draw(most_pause_between_ms));
+        }
+        lift_due(runtime_clock::now());
+        restart_ended();
+        harness::pause_for(step);
+    }
+    lift_due(time_point::max());
+    for (std::size_t i = 0; i < world_.size(); ++i) {
+        auto& each = world_.at(i);
+        if (terminated_.contains(&each)) {
+            const auto code = each.node->wait(stop_limit);
+            if (code != 0) {
+                unexplained_.push_back(each.id + " did not end with 0 after SIGTERM");
+            }
+        }
+    }
+    restart_ended();
+}
+
+void fault_plan::lift_due(time_point now) {
+    std::vector<std::function<void()>> due;
+    std::erase_if(lifts_, [&](const pending_lift& each) {
+        if (each.when > now) {
+            return false;
+        }
+        due.push_back(each.lift);
+        return true;
+    });
+    for (const auto& each : due) {
+        each();
+    }
+}
+
+void fault_plan::restart_ended() {
+    for (std::size_t i = 0; i < world_.size(); ++i) {
+        auto& each = world_.at(i);
+        if (each.node->is_running()) {
+            continue;
+        }
+        const auto code = each.node->wait(duration(0));
+        const bool is_explained = code == -SIGKILL || (terminated_.contains(&each) && code == 0);
+        if (!is_explained) {
+            unexplained_.push_back(each.id + " ended with " + std::to_string(code.value_or(-1)));
+        }
+        terminated_.erase(&each);
+        world_.start_node(each);
+    }
+}
+
+void fault_plan::inject() {
+    auto& victim = world_.at(static_cast<std::size_t>(draw(static_cast<int>(world_.size()))));
+    switch (draw(4)) {
+    case 0:
+        inject_signal(victim);
+        return;
+    case 1:
+        inject_path_fault(victim);
+        return;
+    case 2:
+        inject_store_fault();
+        return;
+    default:
+        inject_target_fault(victim);
+    }
+}
+
+void fault_plan::inject_signal(host& victim) {
+    // A paused process takes no signal but the one that wakes it, and one that stops is left alone.
+    if (paused_.contains(&victim) || terminated_.contains(&victim)) {
+        return;
+    }
+    switch (draw(4)) {
+    case 0:
+        note("kill", &victim);
+        victim.node->kill();
+        return;
+    case 1:
+        note("stop", &victim);
+        terminated_.insert(&victim);
+        victim.node->send(SIGTERM);
+        return;
+    case 2:
+        note("hup", &victim);
+        victim.node->send(SIGHUP);
+        return;
+    default:
+        note("freeze", &victim);
+        paused_.insert(&victim);
+        victim.node->send(SIGSTOP);
+        later(longest_freeze_ms, [this, &victim] {
+            victim.node->send(SIGCONT);
+            paused_.erase(&victim);
+        });
+    }
+}
+
+void fault_plan::inject_path_fault(host& victim) {
+    const bool at_target = draw(2) == 0;
+    auto* const path = at_target ? victim.to_target.get() : victim.to_store.get();
+    const auto mode = static_cast<proxy_mode>(draw(5));
+    note((at_target ? "target path " : "store path ") + std::to_string(static_cast<int>(mode)),
+         &victim);
+    world_.run_here([&] {
+        if (mode == proxy_mode::pass) {
+            path->reset_all();
+        }
+        path->set_mode(mode);
+    });
+    later(longest_fault_ms, [this, path] {
+        world_.run_here([path] {
+            path->set_mode(proxy_mode::pass);
+            path->reset_all(); // what was dropped would leave its connections out of step
+        });
+    });
+}
+
+void fault_plan::inject_store_fault() {
+    const int kind = draw(5);
+    note("store " + std::to_string(kind));
+    world_.run_here([&] {
+        auto& faults = world_.store().present_faults();
+        faults.status = kind == 0 ? 503 : kind == 1 ? 429 : 0;
+        faults.delay = kind == 2 ? milliseconds(200) : milliseconds(0);
+        faults.loses_writes = kind == 3;
+        if (kind == 4) {
+            world_.store().forget_history();
+        }
+    });
+    later(longest_fault_ms,
+          [this] { world_.run_here([this] { world_.store().present_faults() = {}; }); });
+}
+
+void fault_plan::inject_target_fault(host& victim) {
+    const int kind = draw(3);
+    note("target " + std::to_string(kind), &victim);
+    world_.run_here([&] {
+        auto& faults = victim.target->present_faults();
+        faults.sheds = kind == 0;
+        faults.hangs = kind == 1;
+        faults.status = kind == 2 ? 500 : 200;
+    });
+    later(longest_fault_ms, [this, &victim] {
+        world_.run_here([&victim] { victim.target->present_faults() = {}; });
+    });
+}
+
+} // namespace lavenderhoist::soak
--- /dev/null
+++ b/tests/soak/faults.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "world.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lavenderhoist::soak {
+
+/**
+ * \brief Injects faults from outside of the nodes, drawn from a seed: signals, the proxies, the
+ * store and the targets. Faults come in series and overlap; each is lifted again.
+ */
+class fault_plan {
+public:
+    fault_plan(platform_test::world& where, std::uint64_t seed);
+
+    /** \brief Injects faults for a while, then lifts all of them. */
+    void run(duration length);
+
+    /** \brief Nodes that ended otherwise than a signal of the plan explains. */
+    const std::vector<std::string>& unexplained_ends() const noexcept { return unexplained_; }
+
+    /** \brief What was injected, in order, for the report of a failure. */
+    const std::vector<std::string>& history() const noexcept { return history_; }
+
+private:
+    struct pending_lift {
+        time_point when;
+        std::function<void()> lift;
+    };
+
+    void inject();
+    void inject_signal(platform_test::host& victim);
+    void inject_path_fault(platform_test::host& victim);
+    void inject_store_fault();
+    void inject_target_fault(platform_test::host& victim);
+    void lift_due(time_point now);
+    void later(int most_ms, std::function<void()> lift);
+    void restart_ended();
+    int draw(int below) { return static_cast<int>(random_() % static_cast<unsigned>(below)); }
+    void note(const std::string& what, const platform_test::host* victim = nullptr);
+
+    platform_test::world& world_;
+    std::mt19937_64 random_;
+    std::vector<pending_lift> lifts_;
+    std::vector<std::string> unexplained_;
+    std::vector<std::string> history_;
+    std::set<const platform_test::host*> terminated_; ///< Got SIGTERM and must end with 0.
+    std::set<const platform_test::host*> paused_;
+};
+
+} // namespace lavenderhoist::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,85 @@
+// lh-soak: nodes as processes under faults drawn from seeds, judged by what callers and targets
+// see.
+
+#include "callers.hpp"
+#include "faults.hpp"
+
+#include "lavenderhoist/cli/options.hpp"
+
+#include <iostream>
+
+namespace {
+
+using namespace lavenderhoist;
+
+constexpr int caller_count = 6;
+constexpr duration recovery_limit = std::chrono::seconds(10);
+
+void build(platform_test::world& where) {
+    const std::vector<platform::stub_call> call_of_orders{
+        {"/order/", platform_test::world::host_name, "/deep/x"}};
+    const std::vector<platform::stub_call> call_of_reads{
+        {"/read/", platform_test::world::host_name, "/deep/x"}};
+    where.add_host("orders", "a", call_of_orders);
+    where.add_host("orders", "b", call_of_orders);
+    where.add_host("reads", "a", call_of_reads);
+    where.add_host("reads", "b", call_of_reads);
+    where.add_host("deep", "a");
+    where.add_host("deep", "b");
+    where.publish({{"/order/", "orders", false}, {"/read/", "reads", true}, {"/deep/", "deep"}});
+}
+
+std::vector<std::string> run_seed(std::uint64_t seed, duration length) {
+    platform_test::world world;
+    build(world);
+    if (!world.settle()) {
+        return {"the deployment did not settle"};
+    }
+    soak::callers callers(world, caller_count, seed);
+    soak::fault_plan faults(world, seed);
+    faults.run(length);
+    const bool has_recovered = world.settle(recovery_limit);
+    callers.stop();
+    auto broken = callers.broken_promises();
+    broken.insert(broken.end(), faults.unexplained_ends().begin(), faults.unexplained_ends().end());
+    if (!has_recovered) {
+        broken.emplace_back("not every node served again after the last fault");
+    }
+    std::cout << "seed " << seed << ": " << callers.served() << " of " << callers.sent()
+              << " served, " << faults.history().size() << " faults, " << broken.size()
+              << " broken promises\n";
+    for (const auto& each : broken) {
+        std::cout << "  " << each << '\n';
+    }
+    if (!broken.empty()) {
+        for (const auto& each : faults.history()) {
+            std::cout << "    fault: " << each << '\n';
+        }
+    }
+    return broken;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    namespace options = boost::program_options;
+    options::options_description described("Options");
+    described.add_options()("first", options::value<std::uint64_t>()->default_value(1),
+                            "first seed")("seeds", options::value<int>()->default_value(1),
+                                          "how many seeds, one after the other")(
+        "seconds", options::value<int>()->default_value(8), "of faults for each seed");
+    const auto parsed =
+        cli::parse(argc, argv, "lh-soak [--first N] [--seeds N] [--seconds N]", described);
+    if (parsed.exit_with) {
+        return *parsed.exit_with;
+    }
+    const auto first = parsed.values["first"].as<std::uint64_t>();
+    const std::chrono::seconds length(parsed.values["seconds"].as<int>());
+    int failed = 0;
+    for (int i = 0; i < parsed.values["seeds"].as<int>(); ++i) {
+        failed += run_seed(first + static_cast<std::uint64_t>(i), length).empty() ? 0 : 1;
+    }
+    std::cout << (failed == 0 ? "no seed" : std::to_string(failed) + " seeds")
+              << " with a broken promise\n";
+    return failed == 0 ? cli::exit_ok : cli::exit_failed;
+}
