--- /dev/null
+++ b/libs/mesh/include/lavenderhoist/mesh.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+/** \file \brief Umbrella header: decisions of the sidecar without I/O. */
+
+#include "lavenderhoist/mesh/announcement.hpp"
+#include "lavenderhoist/mesh/caller_limits.hpp"
+#include "lavenderhoist/mesh/directory.hpp"
+#include "lavenderhoist/mesh/host_record.hpp"
+#include "lavenderhoist/mesh/placement.hpp"
+#include "lavenderhoist/mesh/repeat_budget.hpp"
+#include "lavenderhoist/mesh/route.hpp"
+#include "lavenderhoist/mesh/routing_table.hpp"
+#include "lavenderhoist/mesh/service_rules.hpp"
+#include "lavenderhoist/mesh/target_lifecycle.hpp"
