--- a/libs/mesh/test/repeat_budget_test.cpp
+++ b/libs/mesh/test/repeat_budget_test.cpp
@@ -38,8 +38,8 @@
                 repeats.push_back(now);
             }
             const auto since = [&now](const std::vector<time_point>& all, duration length) {
-                return std::ranges::count_if(
-                    all, [&](time_point each) { return each > now - length; });
+                return std::ranges::count_if(all,
+                                             [&](time_point each) { return each > now - length; });
             };
             const auto covered = bounds.window + bounds.window / 5;
             RC_ASSERT(static_cast<double>(since(repeats, bounds.window)) <=
