--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -29,16 +29,8 @@
 /** A leave is acknowledged once the store has it, or after this time: targets wait for a second. */
 constexpr duration keep_timeout = std::chrono::milliseconds(700);
 
-/** How long a restarted node waits to learn what it published before. */
-constexpr duration restore_timeout = std::chrono::milliseconds(1'200);
-
-/** Between two questions to other nodes while the store is away. */
-constexpr duration peer_interval = std::chrono::milliseconds(250);
-constexpr duration peer_timeout = std::chrono::milliseconds(400);
-
-/** Between two comparisons of versions with another node. A wait for records whose answer is lost
- * ends only after its whole length; other nodes show earlier that there was one. */
-constexpr duration comparison_interval = std::chrono::milliseconds(400);
+/** How long the data thread may take to tell its metrics. */
+constexpr duration metrics_timeout = std::chrono::milliseconds(400);
 
 constexpr duration first_publish_pause = std::chrono::milliseconds(100);
 constexpr duration longest_publish_pause = std::chrono::milliseconds(800);
@@ -227,33 +219,6 @@
     share_state();
 }
 
-void control_worker::share_state() {
-    shared_state state;
-    state.configuration = configuration_text_;
-    for (const auto& [id, placed] : directory_.hosts()) {
-        state.hosts.push_back(placed);
-    }
-    const shared_versions versions{table_ ? table_->version() : 0, newest_host_offset()};
-    data_.set_shared_state({std::make_shared<const std::string>(encode(state)), encode(versions)});
-}
-
-void control_worker::take_shared_state(const std::string& text) {
-    const auto state = decode_shared_state(text);
-    if (!state) {
-        return;
-    }
-    for (const auto& each : state->hosts) {
-        take_host(each.record, each.offset);
-    }
-    if (published_) {
-        restore_own_record();
-    }
-    if (!state->configuration.empty() && state->configuration != configuration_text_) {
-        take_configuration(state->configuration, "node");
-    }
-    publish_view();
-}
-
 mesh::host_record control_worker::own_record() const {
     mesh::host_record record;
     record.id = settings_.id;
@@ -371,85 +336,6 @@
     }
 }
 
-std::vector<net::tcp::endpoint> control_worker::peers_to_ask() const {
-    std::vector<net::tcp::endpoint> found;
-    for (const auto& [id, placed] : directory_.hosts()) {
-        if (id != settings_.id && placed.record.calls.port != 0) {
-            found.push_back(endpoint_of(placed.record.calls));
-        }
-    }
-    if (!found.empty()) {
-        return found;
-    }
-    for (const auto& contact : settings_.contacts) {
-        // Listeners have the same ports on all hosts of a deployment.
-        if (contact.host != settings_.calls.host) {
-            found.push_back(net::make_endpoint(contact.host, settings_.calls.port));
-        }
-    }
-    return found;
-}
-
-asio::awaitable<void> control_worker::peer_loop() {
-    while (true) {
-        co_await net::sleep_for(context_.get_executor(), peer_interval);
-        if (!restored_ && runtime_clock::now() - started_ > restore_timeout) {
-            log_line(severity::warning, "own record not restored",
-                     {{"reason", "neither the store nor another node answered"}});
-            restore_own_record();
-        }
-        const auto peers = peers_to_ask();
-        if (peers.empty()) {
-            continue;
-        }
-        const auto& peer = peers[random_() % peers.size()];
-        if (configuration_.is_lost() || hosts_.is_lost() || !table_) {
-            co_await ask_peer(peer);
-        } else if (runtime_clock::now() - last_comparison_ > comparison_interval) {
-            last_comparison_ = runtime_clock::now();
-            co_await compare_with(peer);
-        }
-    }
-}
-
-std::int64_t control_worker::newest_host_offset() const {
-    std::int64_t newest = -1;
-    for (const auto& [id, placed] : directory_.hosts()) {
-        newest = std::max(newest, placed.offset);
-    }
-    return newest;
-}
-
-asio::awaitable<void> control_worker::compare_with(net::tcp::endpoint peer) {
-    net::request question;
-    question.method = "GET";
-    question.path = relay::data_worker::versions_path;
-    const auto answer = co_await peers_.exchange(
-        peer, question, runtime_clock::now() + peer_timeout, peer_timeout, nullptr);
-    const auto theirs = answer.code ? std::nullopt : decode_versions(answer.answer.body);
-    if (!theirs) {
-        co_return; // it is down or starting; the next comparison is with another node
-    }
-    const bool is_behind =
-        theirs->configuration > table_->version() || theirs->newest_host > newest_host_offset();
-    if (is_behind && std::exchange(was_behind_, true)) {
-        log_line(
-            severity::warning, "behind another node",
-            {{"configuration", table_->version()}, {"their_configuration", theirs->configuration}});
-        co_await ask_peer(peer);
-    }
-    was_behind_ = is_behind;
-}
-
-asio::awaitable<void> control_worker::ask_peer(net::tcp::endpoint peer) {
-    const net::request question{"GET", std::string(relay::data_worker::state_path), {}, {}};
-    const auto answer = co_await peers_.exchange(
-        peer, question, runtime_clock::now() + peer_timeout, peer_timeout, nullptr);
-    if (!answer.code) {
-        take_shared_state(answer.answer.body);
-    }
-}
-
 control_worker::reply control_worker::serve_readiness(net::request message) {
     if (message.path != codec_.readiness_path()) {
         co_return plain(status_not_found, "not found");
@@ -472,7 +358,7 @@
                      std::to_string(status.target_connections) + '\n';
             asio::post(context_, [done] { done->set(); });
         });
-    co_await done->wait(runtime_clock::now() + peer_timeout);
+    co_await done->wait(runtime_clock::now() + metrics_timeout);
     *text += "hosts_known " + std::to_string(directory_.hosts().size()) + "\nstore_calls " +
              std::to_string(store_.calls()) + "\nconfiguration_version " +
              std::to_string(table_ ? table_->version() : 0) + '\n';
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/relay/target_port.hpp"
+#include "lavenderhoist/relay/internal/target_job.hpp"
 
 #include "lavenderhoist/logging/log.hpp"
 
@@ -12,28 +12,12 @@
 
 namespace {
 
-/** How long to wait for a connection to a target on the same host. */
-constexpr duration connect_timeout = std::chrono::milliseconds(300);
-
-/** After a failed connection the target is not tried for this long. */
-constexpr duration down_pause = std::chrono::milliseconds(100);
-
 /** The target answers by itself at the deadline; its answer needs this long to arrive. */
 constexpr duration answer_grace = std::chrono::milliseconds(40);
 
 /** Less time than this is not worth a target's work. */
 constexpr duration least_time = std::chrono::milliseconds(2);
 
-/** Of an idle connection's announced lifetime, the share for which it is used. */
-constexpr int idle_use_percent = 70;
-
-/** Assumed lifetime of idle connections to a target that has not announced one: such a lifetime
- * lies below a second, since targets announce whole seconds. */
-constexpr duration unannounced_lifetime = std::chrono::milliseconds(500);
-
-/** When a refused caller may come back, if the admission controller doesn't say. */
-constexpr duration refusal_wait = std::chrono::milliseconds(250);
-
 /** Where requests take less time than this, one whose caller has gone is left to finish: breaking
  * it off closes its connection, and opening another one costs the target more. */
 constexpr duration short_service_time = std::chrono::milliseconds(60);
@@ -51,26 +35,8 @@
 /** Log lines a second about requests that got no answer of the target. */
 constexpr double failure_lines_per_second = 5;
 
-constexpr std::size_t max_answer_bytes = 64U << 20U;
-constexpr int status_misdirected = 421;
-constexpr int first_failure_status = 300;
-constexpr int status_success = 200;
-
 } // namespace
 
-/** A request that waits for, or is at, the target. */
-struct target_port::job {
-    ticket id{0};
-    relay_request request;
-    done_handler done;
-    std::optional<net::deadline_queue::ticket> deadline;
-    link_ptr link;
-    std::shared_ptr<net::tcp::socket> connecting;
-    std::string target_id;
-    bool admitted{false};
-    bool sent{false};
-};
-
 target_port::target_port(boost::asio::any_io_executor executor, const wire_names& names,
                          std::string node_id, net::deadline_queue& deadlines)
     : executor_(std::move(executor)),
@@ -115,13 +81,6 @@
     }
 }
 
-void target_port::forget_links() {
-    for (const auto& link : std::exchange(idle_, {})) {
-        links_.erase(link.get());
-        link->give_up();
-    }
-}
-
 void target_port::refuse_waiting(errc cause) {
     std::vector<ticket> waiting;
     for (const auto& [id, job] : jobs_) {
@@ -254,139 +213,6 @@
     job->done(std::move(answer));
 }
 
-void target_port::start(const job_ptr& job) {
-    job->admitted = true;
-    if (!target_) {
-        finish(job, make_failure(execution::not_run, errc::no_target, step::target, node_id_),
-               admission::finish::failed);
-        return;
-    }
-    job->target_id = target_->id;
-    if (const auto link = take_idle_link()) {
-        send(job, link);
-        return;
-    }
-    if (links_.size() >= static_cast<std::size_t>(target_->max_connections)) {
-        finish(job, make_failure(execution::not_run, errc::overloaded, step::connect, node_id_),
-               admission::finish::failed);
-        return;
-    }
-    connect(job);
-}
-
-target_port::link_ptr target_port::take_idle_link() {
-    while (!idle_.empty()) {
-        auto link = std::move(idle_.back());
-        idle_.pop_back();
-        if (link->is_idle()) {
-            return link;
-        }
-        links_.erase(link.get());
-    }
-    return nullptr;
-}
-
-void target_port::connect(const job_ptr& job) {
-    job->connecting = std::make_shared<net::tcp::socket>(executor_);
-    const auto where = target_->where;
-    const auto timeout =
-        deadlines_.add(runtime_clock::now() + connect_timeout, [socket = job->connecting] {
-            boost::system::error_code ignored;
-            socket->close(ignored);
-        });
-    const auto timer = std::make_shared<std::optional<net::deadline_queue::ticket>>(timeout);
-    ++totals_.connections;
-    job->connecting->async_connect(where, [this, job, timer, socket = job->connecting,
-                                           where](const boost::system::error_code& failed) {
-        if (socket->is_open()) {
-            deadlines_.remove(**timer);
-        }
-        job->connecting.reset();
-        if (!jobs_.contains(job->id)) {
-            return; // cancelled meanwhile
-        }
-        const bool has_moved = !target_ || target_->where != where;
-        if (failed || !socket->is_open() || has_moved) {
-            down_until_ = has_moved ? down_until_ : runtime_clock::now() + down_pause;
-            finish(job,
-                   make_failure(execution::not_run, errc::target_lost, step::connect, node_id_),
-                   admission::finish::failed);
-            return;
-        }
-        const auto link = std::make_shared<net::http_link>(std::move(*socket), max_answer_bytes);
-        links_.emplace(link.get(), link);
-        link->start([this](net::http_link& lost) {
-            std::erase_if(idle_, [&lost](const auto& each) { return each.get() == &lost; });
-            links_.erase(&lost);
-        });
-        send(job, link);
-    });
-}
-
-net::request target_port::make_message(const job& job) const {
-    auto message = job.request.message;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(job.request.deadline - runtime_clock::now());
-    auto& fields = message.fields;
-    fields.push_back({names_.request_id, job.request.id});
-    fields.push_back(
-        {names_.time_left_ms, std::to_string(std::max<milliseconds::rep>(1, left.count()))});
-    fields.push_back({names_.target_id, job.target_id});
-    fields.push_back({names_.caller, job.request.caller});
-    return message;
-}
-
-void target_port::send(const job_ptr& job, const link_ptr& link) {
-    job->link = link;
-    job->sent = true;
-    running_.erase(job->request.id); // the key must view the job that is found by it
-    running_.emplace(job->request.id, job.get());
-    ++totals_.sent;
-    link->exchange(make_message(*job), {names_.request_id, job->request.id},
-                   [this, job](net::exchange_result result) { on_answer(job, std::move(result)); });
-}
-
-void target_port::on_answer(const job_ptr& job, net::exchange_result result) {
-    if (const auto link = std::exchange(job->link, nullptr); link && link->is_idle()) {
-        idle_.push_back(link);
-    }
-    auto answer = interpret(*job, std::move(result));
-    auto how = admission::finish::answered;
-    if (answer.result == execution::not_run) {
-        how = admission::finish::shed;
-    } else if (answer.result == execution::unknown) {
-        how = admission::finish::failed;
-    }
-    finish(job, std::move(answer), how);
-}
-
-relay_answer target_port::interpret(const job& job, net::exchange_result result) const {
-    if (result.code) {
-        const auto cause = static_cast<errc>(result.code.value());
-        return make_failure(execution::unknown, cause, step::target, node_id_);
-    }
-    const auto& fields = result.answer.fields;
-    const int status = result.answer.status;
-    const bool is_shed = !net::find_header(fields, names_.not_executed).empty();
-    if (is_shed || status == status_misdirected) {
-        const auto cause = status == status_misdirected ? errc::no_target : errc::target_shed;
-        auto refused = make_failure(execution::not_run, cause, step::target, node_id_);
-        refused.retry_after = refusal_wait;
-        return refused;
-    }
-    const bool is_success = status >= status_success && status < first_failure_status;
-    const bool is_signed = !net::find_header(fields, names_.signature).empty();
-    const bool is_encoded = !net::find_header(fields, "content-encoding").empty();
-    if (is_success && (!is_signed || is_encoded)) {
-        return make_failure(execution::unknown, errc::bad_answer, step::target, node_id_);
-    }
-    (void)job;
-    relay_answer answer;
-    answer.result = execution::answered;
-    answer.message = std::move(result.answer);
-    return answer;
-}
-
 void target_port::finish(const job_ptr& job, relay_answer answer, admission::finish how) {
     if (jobs_.erase(job->id) == 0) {
         return;
@@ -531,19 +357,4 @@
     logged_level_ = level;
 }
 
-void target_port::close_idle() {
-    const auto now = runtime_clock::now();
-    const auto is_old = [now](const link_ptr& link) {
-        const auto lifetime = link->idle_limit().value_or(unannounced_lifetime);
-        return now - link->idle_since() > lifetime * idle_use_percent / 100;
-    };
-    std::vector<link_ptr> closing;
-    std::ranges::copy_if(idle_, std::back_inserter(closing), is_old);
-    std::erase_if(idle_, is_old);
-    for (const auto& link : closing) {
-        links_.erase(link.get());
-        link->give_up();
-    }
-}
-
 } // namespace lavenderhoist::relay
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,6 +56,7 @@
             std::cout << "    fault: " << each << '\n';
         }
     }
+    std::cout << std::flush;
     return broken;
 }
 
