--- /dev/null
+++ b/libs/agent/include/lavenderhoist/agent/internal/endpoint_of.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "lavenderhoist/config/address.hpp"
+#include "lavenderhoist/net/endpoint.hpp"
+
+namespace lavenderhoist::agent {
+
+/** \brief The endpoint of a configured address. */
+inline net::tcp::endpoint endpoint_of(const config::address& where) {
+    return net::make_endpoint(where.host, where.port);
+}
+
+} // namespace lavenderhoist::agent
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -1,5 +1,6 @@
 #include "lavenderhoist/agent/control_worker.hpp"
 
+#include "lavenderhoist/agent/internal/endpoint_of.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -28,10 +29,6 @@
  * ends only after its whole length; other nodes show earlier that there was one. */
 constexpr duration comparison_interval = std::chrono::milliseconds(400);
 
-net::tcp::endpoint endpoint_of(const config::address& where) {
-    return net::make_endpoint(where.host, where.port);
-}
-
 } // namespace
 
 void control_worker::share_state() {
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -1,5 +1,6 @@
 #include "lavenderhoist/agent/control_worker.hpp"
 
+#include "lavenderhoist/agent/internal/endpoint_of.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -46,10 +47,6 @@
 
 constexpr std::size_t max_peer_answer_bytes = 16U << 20U;
 
-net::tcp::endpoint endpoint_of(const config::address& where) {
-    return net::make_endpoint(where.host, where.port);
-}
-
 net::response plain(int status, std::string text) {
     net::response message;
     message.status = status;
--- a/libs/agent/src/sidecar.cpp
+++ b/libs/agent/src/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "lavenderhoist/agent/sidecar.hpp"
 
 #include "lavenderhoist/agent/control_worker.hpp"
+#include "lavenderhoist/agent/internal/endpoint_of.hpp"
 #include "lavenderhoist/config/issue.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -45,10 +46,6 @@
     return result;
 }
 
-net::tcp::endpoint endpoint_of(const config::address& where) {
-    return net::make_endpoint(where.host, where.port);
-}
-
 std::string read_file(const std::string& path) {
     std::ifstream file(path);
     std::ostringstream text;
--- a/libs/mesh/test/routing_table_test.cpp
+++ b/libs/mesh/test/routing_table_test.cpp
@@ -23,11 +23,10 @@
 }
 
 TEST(routing_table, the_longest_prefix_of_the_host_wins) {
-    const routing_table table(
-        1, {},
-        {make_route("root", "h", "/"), make_route("a", "h", "/a/"), make_route("ab", "h", "/a/b/"),
-         make_route("other", "g", "/a/b/")},
-        {});
+    const routing_table table(1, {},
+                              {make_route("root", "h", "/"), make_route("a", "h", "/a/"),
+                               make_route("ab", "h", "/a/b/"), make_route("other", "g", "/a/b/")},
+                              {});
     EXPECT_EQ(name_of(table, "h", "/a/b/c"), "ab");
     EXPECT_EQ(name_of(table, "h", "/a/b"), "a");
     EXPECT_EQ(name_of(table, "h", "/ab/"), "root");
