System tests: ports of a host differ; a deployment that does not settle shows its logs

The log of the failed run was gone, so that it was this is inferred; from now on it is printed. Ruled out: the time limit by itself (the other 21 system tests settled in under a second beside the same load).

--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <iostream>
 #include <set>
 
 namespace lavenderhoist::platform_test {
@@ -53,10 +54,9 @@
               ("lh-platform-" + std::to_string(::getpid()) + "-" +
                std::to_string(runtime_clock::now().time_since_epoch().count()))) {
     std::filesystem::create_directories(folder_);
-    store_address_ = {"127.0.0.1", free_port()};
-    for (auto& port : ports_) {
-        port = free_port();
-    }
+    const auto ports = free_ports(ports_.size() + 1);
+    store_address_ = {"127.0.0.1", ports.back()};
+    std::copy_n(ports.begin(), ports_.size(), ports_.begin());
     store_ = std::make_unique<platform::stub_store>(context_.get_executor(), store_address_);
     store_->start();
     thread_ = std::thread([this] { context_.run(); });
@@ -76,10 +76,16 @@
     }
 }
 
-std::uint16_t world::free_port() {
+std::vector<std::uint16_t> free_ports(std::size_t count) {
     boost::asio::io_context context;
-    const auto acceptor = net::listen(context.get_executor(), net::make_endpoint("127.0.0.1", 0));
-    return acceptor.local_endpoint().port();
+    // Held together: a port that is given back may be handed out again at once.
+    std::vector<net::tcp::acceptor> held;
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < count; ++i) {
+        held.push_back(net::listen(context.get_executor(), net::make_endpoint("127.0.0.1", 0)));
+        ports.push_back(held.back().local_endpoint().port());
+    }
+    return ports;
 }
 
 void world::write_settings(host& which, const std::string& service,
@@ -198,7 +204,7 @@
                    return !result.code && result.answer.status == 200;
                });
     };
-    return wait_until(
+    const bool has_settled = wait_until(
         [&] {
             return std::ranges::all_of(hosts_, [&](const auto& each) {
                 const bool is_known =
@@ -207,6 +213,16 @@
             });
         },
         timeout);
+    if (!has_settled) {
+        print_logs();
+    }
+    return has_settled;
+}
+
+void world::print_logs() const {
+    for (const auto& each : hosts_) {
+        std::cerr << "--- " << each->log_file << '\n' << std::ifstream(each->log_file).rdbuf();
+    }
 }
 
 std::string world::make_id() {
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -115,7 +115,7 @@
     static constexpr const char* host_name = "test.example";
 
 private:
-    static std::uint16_t free_port();
+    void print_logs() const;
     void write_settings(host& which, const std::string& service, const std::string& data_centre);
 
     boost::asio::io_context context_{1};
@@ -131,6 +131,9 @@
     int last_id_{0};
 };
 
+/** \brief Ports that are free on loopback, all different. */
+std::vector<std::uint16_t> free_ports(std::size_t count);
+
 /** \brief Waits until `is_met`. \returns false if it was not by `timeout`. */
 bool wait_until(const std::function<bool()>& is_met, duration timeout = std::chrono::seconds(5));
 
