HTTP/1.1: refuse transfer codings other than chunked; hold back short rests between chunks

Beast keeps `chunked` only if it is the last coding and ignores the field otherwise. Such a request gets 400 now. - An empty body in chunks that arrives in pieces ended the process: Beast 1.81 asserts to have five bytes once it has seen `0 CRLF` of the last chunk. A caller or a target could end lh-sidecar and lh-node with it. All four readers now feed the parser through one function that waits for five. Ruled out: turning Boost's assertions off (it hides other faults, and differs by translation unit).

--- /dev/null
+++ b/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <cstddef>
+#include <string_view>
+
+namespace lavenderhoist::net::internal {
+
+/**
+ * \brief Hands bytes to a parser of one message, as far as it takes them.
+ *
+ * While a body in chunks is incomplete, at least `0 CRLF CRLF` is still to come, and the parser of
+ * Beast 1.81 is not to be called with less: it asserts to have all of it once it has seen the
+ * first line of the last chunk.
+ *
+ * \param failed why the bytes are no message; clear if more bytes are needed.
+ * \returns how many bytes it has used; the others are to be given again with what follows them.
+ */
+template <bool is_request, typename Body>
+std::size_t feed(boost::beast::http::parser<is_request, Body>& parser, std::string_view bytes,
+                 boost::system::error_code& failed) {
+    constexpr std::size_t last_chunk_bytes = 5;
+    std::size_t used = 0;
+    failed = {};
+    while (!parser.is_done() && used < bytes.size() && !failed) {
+        const auto rest = bytes.substr(used);
+        const bool is_between_chunks = parser.is_header_done() && parser.chunked();
+        if (is_between_chunks && rest.size() < last_chunk_bytes) {
+            break;
+        }
+        used += parser.put(boost::asio::buffer(rest), failed);
+    }
+    if (failed == boost::beast::http::error::need_more) {
+        failed = {};
+    }
+    return used;
+}
+
+/**
+ * \brief Reads one whole message. Bytes after it stay in `buffer`.
+ * \returns `end_of_stream` if the connection ends before its first byte.
+ */
+template <bool is_request, typename Body>
+boost::asio::awaitable<boost::system::error_code>
+read_message(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer,
+             boost::beast::http::parser<is_request, Body>& parser) {
+    constexpr std::size_t read_bytes = 16U << 10U;
+    boost::system::error_code failed;
+    parser.eager(true);
+    while (true) {
+        const auto waiting = buffer.data();
+        const std::string_view bytes(static_cast<const char*>(waiting.data()), waiting.size());
+        buffer.consume(feed(parser, bytes, failed));
+        if (failed || parser.is_done()) {
+            co_return failed;
+        }
+        const auto room = buffer.prepare(read_bytes);
+        const auto length = co_await socket.async_read_some(
+            room, boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+        buffer.commit(length);
+        if (failed == boost::asio::error::eof && parser.got_some()) {
+            failed = {};
+            parser.put_eof(failed);
+            co_return failed;
+        }
+        if (failed) {
+            co_return failed == boost::asio::error::eof
+                ? boost::beast::http::make_error_code(
+                      boost::beast::http::error::end_of_stream)
+                : failed;
+        }
+    }
+}
+
+} // namespace lavenderhoist::net::internal
--- a/libs/net/src/beast_convert.cpp
+++ b/libs/net/src/beast_convert.cpp
@@ -86,6 +86,12 @@
     return result;
 }
 
+bool has_known_framing(const beast_request& message) {
+    constexpr auto name = boost::beast::http::field::transfer_encoding;
+    const auto codings = message.count(name);
+    return codings == 0 || (codings == 1 && boost::beast::iequals(message[name], "chunked"));
+}
+
 request from_beast(beast_request&& message) {
     request result;
     result.method = std::string(message.method_string());
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -4,6 +4,7 @@
 #include "lavenderhoist/net/cancel_scope.hpp"
 #include "lavenderhoist/net/deadline_guard.hpp"
 #include "lavenderhoist/net/internal/beast_convert.hpp"
+#include "lavenderhoist/net/internal/http_feed.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -133,8 +134,7 @@
                                        redirect_error(use_awaitable, failed));
         }
         if (!failed && !cancelled->is_cancelled()) {
-            co_await http::async_read(used->socket, used->buffer, parser,
-                                      redirect_error(use_awaitable, failed));
+            failed = co_await internal::read_message(used->socket, used->buffer, parser);
         }
         if (cancelled->is_cancelled()) {
             result.code = errc::cancelled;
--- a/libs/net/src/http_link.cpp
+++ b/libs/net/src/http_link.cpp
@@ -2,9 +2,7 @@
 
 #include "lavenderhoist/core/error.hpp"
 #include "lavenderhoist/net/internal/beast_convert.hpp"
-
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
+#include "lavenderhoist/net/internal/http_feed.hpp"
 
 #include <charconv>
 #include <utility>
@@ -94,14 +92,9 @@
             reading_->parser.skip(is_head_);
         }
         auto& parser = reading_->parser;
-        std::size_t used = 0;
         boost::system::error_code failed;
-        while (!parser.is_done() && used < buffer_.size() && !failed) {
-            used += parser.put(boost::asio::buffer(buffer_.data() + used, buffer_.size() - used),
-                               failed);
-        }
-        buffer_.erase(0, used);
-        if (failed && failed != http::error::need_more) {
+        buffer_.erase(0, internal::feed(parser, buffer_, failed));
+        if (failed) {
             fail(errc::bad_answer);
             return;
         }
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/net/deadline_guard.hpp"
 #include "lavenderhoist/net/internal/beast_convert.hpp"
+#include "lavenderhoist/net/internal/http_feed.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 
@@ -170,8 +171,7 @@
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
         });
-        co_await http::async_read(connection->socket, connection->buffer, parser,
-                                  redirect_error(use_awaitable, failed));
+        failed = co_await internal::read_message(connection->socket, connection->buffer, parser);
     }
     if (failed == http::error::end_of_stream) {
         co_return false;
@@ -180,6 +180,11 @@
         co_await send_fault(connection, fault_status(failed, *timed_out), failed.message());
         co_return false;
     }
+    if (!internal::has_known_framing(parser.get())) {
+        co_await send_fault(connection, fault_status(http::error::bad_transfer_encoding, false),
+                            "transfer coding is not supported");
+        co_return false;
+    }
 
     const bool wants_more = parser.get().keep_alive();
     boost::system::error_code peer_failed;
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -1,9 +1,7 @@
 #include "lavenderhoist/net/http_session.hpp"
 
 #include "lavenderhoist/net/internal/beast_convert.hpp"
-
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
+#include "lavenderhoist/net/internal/http_feed.hpp"
 
 #include <utility>
 
@@ -84,17 +82,16 @@
         since_ = runtime_clock::now();
     }
     auto& parser = reading_->parser;
-    std::size_t used = 0;
     boost::system::error_code failed;
-    while (!parser.is_done() && used < buffer_.size() && !failed) {
-        used +=
-            parser.put(boost::asio::buffer(buffer_.data() + used, buffer_.size() - used), failed);
-    }
-    buffer_.erase(0, used);
-    if (failed && failed != http::error::need_more) {
+    buffer_.erase(0, internal::feed(parser, buffer_, failed));
+    if (failed) {
         reject(status_of(failed), failed.message());
         return;
     }
+    if (parser.is_header_done() && !internal::has_known_framing(parser.get())) {
+        reject(status_bad_request, "transfer coding is not supported");
+        return;
+    }
     if (parser.is_done()) {
         finish_request();
         return;
--- /dev/null
+++ b/libs/net/test/http_session_test.cpp
@@ -0,0 +1,175 @@
+// Requests as callers may send them: in any pieces, too large, too slow, or with two meanings.
+
+#include "lavenderhoist/net/http_session.hpp"
+
+#include "loopback.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lavenderhoist::net {
+namespace {
+
+constexpr std::size_t whole = 1U << 20U;
+
+/** A session whose handler keeps what it is given and answers at once. */
+class served_connection {
+public:
+    served_connection()
+        : ends_(test::make_pair(context_)), peers_(std::move(ends_.peers)) {
+        auto handlers = std::make_shared<http_session::events>();
+        handlers->on_request = [this](const std::shared_ptr<http_session>& session,
+                                      request message) {
+            seen_.push_back(std::move(message));
+            session->answer({200, {}, "served"}, true);
+        };
+        handlers->on_gone = [](const std::shared_ptr<http_session>&) {};
+        handlers->on_rejected = [this](int status, std::string_view) { rejected_ = status; };
+        const http_limits limits{1, 2'048, 4'096, std::chrono::seconds(1), std::chrono::seconds(1)};
+        session_ = std::make_shared<http_session>(std::move(ends_.ours),
+                                                  std::make_shared<http_limits>(limits), handlers);
+        session_->start();
+    }
+
+    ~served_connection() { session_->abort(); }
+    served_connection(const served_connection&) = delete;
+    served_connection& operator=(const served_connection&) = delete;
+
+    void send(std::string_view bytes, std::size_t piece = whole) {
+        test::write_in_pieces(context_, peers_, bytes, piece);
+    }
+
+    std::string received() { return test::read_available(context_, peers_); }
+    http_session& session() { return *session_; }
+    const std::vector<request>& seen() const { return seen_; }
+
+    /** The status of the rejection, or 0. */
+    int rejected() const { return rejected_; }
+
+private:
+    boost::asio::io_context context_{1};
+    test::connected_pair ends_;
+    tcp::socket peers_;
+    std::shared_ptr<http_session> session_;
+    std::vector<request> seen_;
+    int rejected_{0};
+};
+
+std::string chunked(std::string_view text, std::size_t piece) {
+    std::string result;
+    constexpr std::string_view digits = "0123456789abcdef";
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+        const auto part = text.substr(at, piece);
+        result += {digits[part.size() / 16], digits[part.size() % 16]};
+        result += "\r\n" + std::string(part) + "\r\n";
+    }
+    return result + "0\r\n\r\n";
+}
+
+/** A request that must be refused as a whole, with what a naive server would take for a second. */
+struct ambiguous {
+    std::string name;
+    std::string fields;
+    std::string body;
+};
+
+class http_session_ambiguous : public testing::TestWithParam<ambiguous> {};
+
+const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+RC_GTEST_PROP(http_session, reads_the_same_requests_from_any_pieces, ()) {
+    const auto bodies = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::container<std::string>(rc::gen::inRange<char>(0, 127)));
+    const auto chunk = *rc::gen::inRange<std::size_t>(1, 200);
+    const auto piece = *rc::gen::inRange<std::size_t>(1, 300);
+    std::string bytes;
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        bytes += "POST /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n";
+        bytes += i % 2 == 0 ? "Content-Length: " + std::to_string(bodies[i].size()) + "\r\n\r\n"
+                            : "Transfer-Encoding: chunked\r\n\r\n";
+        bytes += i % 2 == 0 ? bodies[i] : chunked(bodies[i], chunk);
+    }
+    served_connection connection;
+    connection.send(bytes, piece);
+    RC_ASSERT(connection.seen().size() == bodies.size());
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        RC_ASSERT(connection.seen()[i].path == "/" + std::to_string(i));
+        RC_ASSERT(connection.seen()[i].body == bodies[i]);
+    }
+}
+
+TEST(http_session, reads_an_empty_body_in_chunks_byte_by_byte) {
+    served_connection connection;
+    connection.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        chunked("", 1),
+                    1);
+    ASSERT_EQ(connection.seen().size(), 1U);
+    EXPECT_TRUE(connection.seen().front().body.empty());
+}
+
+TEST_P(http_session_ambiguous, is_rejected_with_all_that_follows) {
+    served_connection connection;
+    connection.send("POST /outer HTTP/1.1\r\nHost: h\r\n" + GetParam().fields + "\r\n" +
+                    GetParam().body + hidden);
+    EXPECT_TRUE(connection.seen().empty());
+    EXPECT_EQ(connection.rejected(), 400);
+    EXPECT_TRUE(connection.received().starts_with("HTTP/1.1 400"));
+    connection.send(hidden);
+    EXPECT_TRUE(connection.seen().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    framings, http_session_ambiguous,
+    testing::Values(
+        ambiguous{"two_lengths", "Content-Length: 4\r\nContent-Length: 0\r\n", "body"},
+        ambiguous{"list_of_lengths", "Content-Length: 4, 0\r\n", "body"},
+        ambiguous{"signed_length", "Content-Length: +4\r\n", "body"},
+        ambiguous{"negative_length", "Content-Length: -1\r\n", ""},
+        ambiguous{"length_and_chunks", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                  "0\r\n\r\n"},
+        ambiguous{"chunks_and_length", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+                  "0\r\n\r\n"},
+        ambiguous{"unknown_coding", "Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"},
+        ambiguous{"coding_after_chunks", "Transfer-Encoding: chunked, gzip\r\n", "0\r\n\r\n"},
+        ambiguous{"two_codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+                  "0\r\n\r\n"},
+        ambiguous{"space_before_colon", "Transfer-Encoding : chunked\r\n", "0\r\n\r\n"},
+        ambiguous{"bad_chunk_size", "Transfer-Encoding: chunked\r\n", "zz\r\n\r\n"},
+        ambiguous{"chunk_without_end", "Transfer-Encoding: chunked\r\n", "1\r\nab\r\n0\r\n\r\n"}),
+    [](const auto& tested) { return tested.param.name; });
+
+TEST(http_session, rejects_what_is_too_large_with_its_status) {
+    served_connection many_fields;
+    many_fields.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(4'000, 'x') + "\r\n\r\n");
+    EXPECT_EQ(many_fields.rejected(), 431);
+    served_connection long_body;
+    long_body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
+    EXPECT_EQ(long_body.rejected(), 413);
+    served_connection long_chunks;
+    long_chunks.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     chunked(std::string(5'000, 'x'), 200));
+    EXPECT_EQ(long_chunks.rejected(), 413);
+    EXPECT_TRUE(long_chunks.seen().empty());
+}
+
+TEST(http_session, rejects_a_request_that_does_not_become_whole_in_time) {
+    served_connection connection;
+    connection.send("GET / HTTP/1.1\r\nHost:");
+    connection.session().check_time(runtime_clock::now());
+    EXPECT_EQ(connection.rejected(), 0);
+    connection.session().check_time(runtime_clock::now() + std::chrono::milliseconds(1'100));
+    EXPECT_EQ(connection.rejected(), 408);
+    connection.send(" h\r\n\r\n");
+    EXPECT_TRUE(connection.seen().empty()) << "the status says that it never runs";
+}
+
+TEST(http_session, reads_no_further_request_after_its_last_answer) {
+    served_connection connection;
+    connection.send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + hidden);
+    ASSERT_EQ(connection.seen().size(), 1U);
+    EXPECT_EQ(connection.seen().front().path, "/1");
+}
+
+} // namespace lavenderhoist::net
--- /dev/null
+++ b/libs/net/test/loopback.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "lavenderhoist/net/endpoint.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lavenderhoist::net::test {
+
+/** \brief The two ends of a TCP connection over the loopback interface. */
+struct connected_pair {
+    tcp::socket ours;  ///< For the object under test.
+    tcp::socket peers; ///< Played by the test, with calls that don't block.
+};
+
+inline connected_pair make_pair(boost::asio::io_context& context) {
+    tcp::acceptor acceptor(context, make_endpoint("127.0.0.1", 0));
+    tcp::socket peers(context);
+    peers.connect(acceptor.local_endpoint());
+    auto ours = acceptor.accept();
+    peers.set_option(tcp::no_delay(true));
+    peers.non_blocking(true);
+    ours.non_blocking(true);
+    return {std::move(ours), std::move(peers)};
+}
+
+/** \brief Writes `bytes` in pieces of `piece` bytes and lets the other end see each by itself. */
+inline void write_in_pieces(boost::asio::io_context& context, tcp::socket& socket,
+                            std::string_view bytes, std::size_t piece) {
+    boost::system::error_code failed;
+    while (!bytes.empty() && !failed) {
+        const auto part = bytes.substr(0, piece);
+        boost::asio::write(socket, boost::asio::buffer(part), failed);
+        bytes.remove_prefix(part.size());
+        context.poll();
+    }
+}
+
+/** \brief Everything that has arrived so far. */
+inline std::string read_available(boost::asio::io_context& context, tcp::socket& socket) {
+    context.poll();
+    std::string result;
+    std::string piece(4'096, '\0');
+    boost::system::error_code failed;
+    while (!failed) {
+        const auto length = socket.read_some(boost::asio::buffer(piece), failed);
+        result.append(piece, 0, length);
+    }
+    return result;
+}
+
+} // namespace lavenderhoist::net::test
--- a/tests/system/bad_input_test.cpp
+++ b/tests/system/bad_input_test.cpp
@@ -40,6 +40,15 @@
     EXPECT_NE(answer.find("not-run"), std::string::npos);
 }
 
+TEST_F(system_bad_input, body_of_unknown_length) {
+    const auto answer = send_raw(shared->hosts().front().callers,
+                                 "POST /barriers/x HTTP/1.1\r\nhost: x\r\n"
+                                 "transfer-encoding: chunked, gzip\r\n\r\n"
+                                 "GET /barriers/hidden HTTP/1.1\r\nhost: x\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << "a second request was read";
+}
+
 TEST_F(system_bad_input, oversized_header) {
     const auto answer = send_raw(
         shared->hosts().front().callers,
