Orders: hand over for every epoch that was learnt, not only for the newest

Change: the coordinator keeps the epochs whose hand-over is due, each with the time it was learnt; ownership::horizon_to_hand_over() and order_keeper::make_hand_overs() take the epoch. Ruled out: handing over along the whole chain at once (the owners between may have run orders).

Test: ownership.an_owner_that_missed_an_epoch_hands_over_for_it_as_well.

--- a/libs/node/include/lavenderhoist/node/order_coordinator.hpp
+++ b/libs/node/include/lavenderhoist/node/order_coordinator.hpp
@@ -71,7 +71,7 @@
     boost::asio::awaitable<std::optional<std::int64_t>> newest_epoch_by_log();
     boost::asio::awaitable<bool> confirmed_by_members(orders::assignment current);
     boost::asio::awaitable<void> write_assignment();
-    boost::asio::awaitable<bool> send_hand_overs();
+    boost::asio::awaitable<bool> send_hand_overs(std::int64_t epoch);
 
     std::optional<orders::assignment> current_assignment(const std::string& service) const;
     std::vector<orders::owner> wanted_members();
@@ -90,8 +90,7 @@
     std::map<std::string, time_point> quiet_until_; // by service: see wait_for()
     std::vector<orders::owner> last_wanted_;
     time_point wanted_since_{};
-    std::int64_t handed_over_epoch_{0};
-    time_point hand_over_began_{};
+    std::map<std::int64_t, time_point> due_hand_overs_; // by epoch: when it was learnt
     bool clock_fault_{false};
     std::uint64_t assignments_written_{0};
 };
--- a/libs/node/include/lavenderhoist/node/order_keeper.hpp
+++ b/libs/node/include/lavenderhoist/node/order_keeper.hpp
@@ -82,11 +82,12 @@
     void on_tick();
 
     /**
-     * \brief What is to be handed over to the new owners of the newest epoch.
-     * \returns nothing while moved orders still run, or their earlier owners are waited for.
+     * \brief What is to be handed over to the new owners of an epoch, by their ids.
+     * \returns nothing while moved orders still run, or their earlier owners are waited for; no
+     * parcel if this process owned nothing in the epoch before it, or does not know both.
      */
-    std::optional<std::map<std::string, hand_over>>
-    make_hand_overs(const std::string& service) const;
+    std::optional<std::map<std::string, hand_over>> make_hand_overs(const std::string& service,
+                                                                    std::int64_t epoch) const;
 
     void accept_hand_over(hand_over given);
 
--- a/libs/node/include/lavenderhoist/node/target_worker.hpp
+++ b/libs/node/include/lavenderhoist/node/target_worker.hpp
@@ -76,7 +76,8 @@
                          std::vector<std::uint64_t> quarantined);
 
     /** \brief What is to be handed over now; see order_keeper::make_hand_overs(). */
-    std::optional<std::map<std::string, hand_over>> make_hand_overs(const std::string& service);
+    std::optional<std::map<std::string, hand_over>> make_hand_overs(const std::string& service,
+                                                                    std::int64_t epoch);
 
     target_status status();
     metrics::recorder collect();
--- a/libs/node/src/order_coordinator.cpp
+++ b/libs/node/src/order_coordinator.cpp
@@ -66,6 +66,7 @@
         return;
     }
     service_ = service;
+    due_hand_overs_.clear();
     if (const auto current = current_assignment(service_)) {
         lease_.on_epoch(current->epoch);
         parts_.target.post_assignment(*current);
@@ -86,7 +87,7 @@
         return;
     }
     lease_.on_epoch(next->epoch);
-    hand_over_began_ = runtime_clock::now();
+    due_hand_overs_[next->epoch] = runtime_clock::now();
     parts_.target.post_assignment(*next);
 }
 
@@ -105,10 +106,7 @@
         return false;
     }
     const auto current = current_assignment(service_);
-    if (!current) {
-        return false;
-    }
-    return current->contains(self_) || handed_over_epoch_ < current->epoch;
+    return !due_hand_overs_.empty() || (current && current->contains(self_));
 }
 
 asio::awaitable<void> order_coordinator::lease_loop() {
@@ -321,28 +319,28 @@
 asio::awaitable<void> order_coordinator::hand_over_loop() {
     while (true) {
         co_await net::sleep_for(executor_, hand_over_interval);
-        const auto current = current_assignment(service_);
-        if (!current || current->epoch <= handed_over_epoch_ || !service_has_orders()) {
+        if (!service_has_orders()) {
             continue;
         }
-        const bool is_too_late = runtime_clock::now() - hand_over_began_ > hand_over_limit;
-        if (is_too_late || co_await send_hand_overs()) {
-            handed_over_epoch_ = current->epoch;
+        // Epochs that were learnt together are each handed over, since the owners of the later one
+        // may wait for takers of the earlier one. The map changes while a parcel is under way.
+        const auto due = due_hand_overs_;
+        for (const auto& [epoch, learnt_at] : due) {
+            const bool is_too_late = runtime_clock::now() - learnt_at > hand_over_limit;
+            if (is_too_late || co_await send_hand_overs(epoch)) {
+                due_hand_overs_.erase(epoch);
+            }
         }
     }
 }
 
-asio::awaitable<bool> order_coordinator::send_hand_overs() {
-    const auto current = current_assignment(service_);
-    const auto parcels = parts_.target.make_hand_overs(service_);
+asio::awaitable<bool> order_coordinator::send_hand_overs(std::int64_t epoch) {
+    const auto parcels = parts_.target.make_hand_overs(service_, epoch);
     if (!parcels) {
         co_return false;
     }
     bool all_sent = true;
     for (const auto& [id, parcel] : *parcels) {
-        if (parcel.epoch != current->epoch) {
-            co_return false; // the target's thread has not learnt of the epoch yet
-        }
         // A taker that is not known yet, or does not answer, gets it in a later round.
         const auto* const taker = parts_.gossip.members().find(id);
         if (taker == nullptr) {
--- a/libs/node/src/order_keeper.cpp
+++ b/libs/node/src/order_keeper.cpp
@@ -177,31 +177,31 @@
 }
 
 std::optional<std::map<std::string, hand_over>>
-order_keeper::make_hand_overs(const std::string& service) const {
-    const auto* const now_in_force = ownership_.current();
-    const auto* const before = ownership_.previous();
-    const auto horizon = ownership_.horizon_to_hand_over(runtime_clock::now());
+order_keeper::make_hand_overs(const std::string& service, std::int64_t epoch) const {
+    const auto* const after = ownership_.find(epoch);
+    const auto* const before = ownership_.find(epoch - 1);
     std::map<std::string, hand_over> result;
-    if (before == nullptr || !before->contains(ownership_.self())) {
+    if (after == nullptr || before == nullptr || !before->contains(ownership_.self())) {
         return result;
     }
+    const auto horizon = ownership_.horizon_to_hand_over(epoch, runtime_clock::now());
     if (!horizon) {
         return std::nullopt;
     }
     const auto self = ownership_.self();
-    for (const auto& taker : now_in_force->members) {
+    for (const auto& taker : after->members) {
         if (taker == self) {
             continue;
         }
         const auto moves_there = [&](const key& order) {
             const auto* const old_owner = before->owner_of(order.hash());
-            const auto* const new_owner = now_in_force->owner_of(order.hash());
+            const auto* const new_owner = after->owner_of(order.hash());
             return old_owner != nullptr && *old_owner == self && *new_owner == taker;
         };
         if (table_.any_running(moves_there)) {
             return std::nullopt;
         }
-        result[taker.id] = {service, now_in_force->epoch, self, *horizon,
+        result[taker.id] = {service, epoch, self, *horizon,
                             table_.export_finished(moves_there)};
     }
     return result;
--- a/libs/node/src/target_worker.cpp
+++ b/libs/node/src/target_worker.cpp
@@ -107,8 +107,9 @@
 }
 
 std::optional<std::map<std::string, hand_over>>
-target_worker::make_hand_overs(const std::string& service) {
-    return worker_.run_here([this, &service] { return orders_.make_hand_overs(service); });
+target_worker::make_hand_overs(const std::string& service, std::int64_t epoch) {
+    return worker_.run_here(
+        [this, &service, epoch] { return orders_.make_hand_overs(service, epoch); });
 }
 
 target_status target_worker::status() {
--- a/libs/orders/include/lavenderhoist/orders/ownership.hpp
+++ b/libs/orders/include/lavenderhoist/orders/ownership.hpp
@@ -74,14 +74,14 @@
     /** \brief The newest epoch, or null. */
     const assignment* current() const noexcept;
 
-    /** \brief The epoch before the newest one that this node knows, or null. */
-    const assignment* previous() const noexcept;
+    /** \brief The members of an epoch, or null if this node does not know it any more, or yet. */
+    const assignment* find(std::int64_t epoch) const noexcept;
 
     /**
-     * \brief The horizon that holds for every key of this owner in the epoch before the newest.
+     * \brief The horizon that holds for every key of this owner in the epoch before `epoch`.
      * \returns nothing while some of these keys were still waiting for their earlier owner.
      */
-    std::optional<milliseconds> horizon_to_hand_over(time_point now) const;
+    std::optional<milliseconds> horizon_to_hand_over(std::int64_t epoch, time_point now) const;
 
     /** \brief True if no key of this owner waits for an earlier owner any more. */
     bool is_settled(time_point now) const;
--- a/libs/orders/src/ownership.cpp
+++ b/libs/orders/src/ownership.cpp
@@ -112,11 +112,13 @@
     return epochs_.empty() ? nullptr : &epochs_.back().value;
 }
 
-const assignment* ownership::previous() const noexcept {
-    if (epochs_.size() < 2 || epochs_.back().is_gap) {
-        return nullptr;
+const assignment* ownership::find(std::int64_t epoch) const noexcept {
+    for (const auto& state : epochs_) {
+        if (state.value.epoch == epoch) {
+            return &state.value;
+        }
     }
-    return &epochs_[epochs_.size() - 2].value;
+    return nullptr;
 }
 
 bool ownership::all_handed_over(std::size_t index) const {
@@ -159,10 +161,11 @@
     return horizon_over(epochs_.size());
 }
 
-std::optional<milliseconds> ownership::horizon_to_hand_over(time_point now) const {
-    const auto earlier = epochs_.empty() ? 0 : epochs_.size() - 1;
-    for (std::size_t i = 0; i < earlier; ++i) {
-        if (waits_for_earlier_owner(i, now)) {
+std::optional<milliseconds> ownership::horizon_to_hand_over(std::int64_t epoch,
+                                                            time_point now) const {
+    std::size_t earlier = 0;
+    for (; earlier < epochs_.size() && epochs_[earlier].value.epoch < epoch; ++earlier) {
+        if (waits_for_earlier_owner(earlier, now)) {
             return std::nullopt;
         }
     }
--- a/libs/orders/test/world.cpp
+++ b/libs/orders/test/world.cpp
@@ -300,21 +300,32 @@
 }
 
 void world::hand_over(int index) {
+    const auto& process = *nodes_[static_cast<std::size_t>(index)].process;
+    // Any two neighbouring epochs that the process knows, however many it has read since.
+    for (std::size_t epoch = 2; epoch <= process.read; ++epoch) {
+        hand_over(index, static_cast<std::int64_t>(epoch));
+    }
+}
+
+void world::hand_over(int index, std::int64_t epoch) {
     auto& process = *nodes_[static_cast<std::size_t>(index)].process;
-    const auto* const current = process.own.current();
-    const auto* const before = process.own.previous();
-    const auto horizon = process.own.horizon_to_hand_over(now_);
-    if (before == nullptr || !before->contains(process.own.self()) || !horizon) {
+    const auto* const after = process.own.find(epoch);
+    const auto* const before = process.own.find(epoch - 1);
+    if (after == nullptr || before == nullptr || !before->contains(process.own.self())) {
+        return;
+    }
+    const auto horizon = process.own.horizon_to_hand_over(epoch, now_);
+    if (!horizon) {
         return;
     }
     for (auto& other : nodes_) {
         if (!other.process || &process == other.process.get() ||
-            !current->contains(other.process->own.self())) {
+            !after->contains(other.process->own.self())) {
             continue;
         }
         const auto moves = [&](const key& order) {
             return *before->owner_of(order.hash()) == process.own.self() &&
-                   *current->owner_of(order.hash()) == other.process->own.self();
+                   *after->owner_of(order.hash()) == other.process->own.self();
         };
         if (process.table.any_running(moves) && left_out_ != mutation::hand_over_ignores_running) {
             continue;
@@ -322,7 +333,7 @@
         for (auto& entry : process.table.export_finished(moves)) {
             other.process->table.import_finished(std::move(entry), now_);
         }
-        other.process->own.on_hand_over(current->epoch, process.own.self(), *horizon);
+        other.process->own.on_hand_over(epoch, process.own.self(), *horizon);
     }
 }
 
--- a/libs/orders/test/world.hpp
+++ b/libs/orders/test/world.hpp
@@ -93,6 +93,7 @@
     void deliver(int number);
     void finish(int number);
     void hand_over(int index);
+    void hand_over(int index, std::int64_t epoch);
     void restart(int index);
     std::vector<owner> wanted_owners(unsigned wanted) const;
 
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -106,7 +106,7 @@
     victim.node->send(SIGCONT);
     sender.join();
     judge(outcomes, outcomes.size() / 4);
-    EXPECT_TRUE(wait_for_owners(3)); // it is taken back
+    EXPECT_TRUE(wait_for_owners(3)) << describe_owners(); // it is taken back
 }
 
 TEST_F(system_failure, log_outage_does_not_stop_orders) {
