Split libs/node into call, order_service, serving and cluster

What is left in libs/node joins them: the control thread, operators' calls, leases and assignments. The namespace stays lavenderhoist::node for all of them: they make up one process. Weighed: a namespace a library (every use of a call would be qualified, to no reader's gain).

--- a/libs/node/include/lavenderhoist/node/problem.hpp
+++ b/libs/call/include/lavenderhoist/call/problem.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/call/call.hpp"
 #include "lavenderhoist/net/message.hpp"
-#include "lavenderhoist/node/call.hpp"
 
 #include <string_view>
 
--- a/libs/node/src/call_codec.cpp
+++ b/libs/call/src/call_codec.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/call_codec.hpp"
+#include "lavenderhoist/call/call_codec.hpp"
 
 #include <charconv>
 
--- a/libs/node/src/problem.cpp
+++ b/libs/call/src/problem.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/problem.hpp"
+#include "lavenderhoist/call/problem.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/include/lavenderhoist/node/gossip_service.hpp
+++ b/libs/cluster/include/lavenderhoist/cluster/gossip_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/cluster/peer_client.hpp"
 #include "lavenderhoist/membership/member_list.hpp"
-#include "lavenderhoist/node/peer_client.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/libs/node/include/lavenderhoist/node/log_follower.hpp
+++ b/libs/cluster/include/lavenderhoist/cluster/log_follower.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/cluster/log_client.hpp"
 #include "lavenderhoist/net/signal.hpp"
-#include "lavenderhoist/node/log_client.hpp"
 #include "lavenderhoist/records/record_store.hpp"
 
 #include <boost/asio/awaitable.hpp>
--- a/libs/node/include/lavenderhoist/node/log_keeper.hpp
+++ b/libs/cluster/include/lavenderhoist/cluster/log_keeper.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "lavenderhoist/node/gossip_service.hpp"
-#include "lavenderhoist/node/log_client.hpp"
-#include "lavenderhoist/node/log_follower.hpp"
-#include "lavenderhoist/node/record_publisher.hpp"
-#include "lavenderhoist/node/record_relay.hpp"
+#include "lavenderhoist/cluster/gossip_service.hpp"
+#include "lavenderhoist/cluster/log_client.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
+#include "lavenderhoist/cluster/record_publisher.hpp"
+#include "lavenderhoist/cluster/record_relay.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/libs/node/include/lavenderhoist/node/record_publisher.hpp
+++ b/libs/cluster/include/lavenderhoist/cluster/record_publisher.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "lavenderhoist/cluster/log_client.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
 #include "lavenderhoist/core/error.hpp"
-#include "lavenderhoist/node/log_client.hpp"
-#include "lavenderhoist/node/log_follower.hpp"
 #include "lavenderhoist/records/record_store.hpp"
 
 #include <boost/asio/awaitable.hpp>
--- a/libs/node/include/lavenderhoist/node/record_relay.hpp
+++ b/libs/cluster/include/lavenderhoist/cluster/record_relay.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "lavenderhoist/node/gossip_service.hpp"
-#include "lavenderhoist/node/log_follower.hpp"
-#include "lavenderhoist/node/peer_client.hpp"
+#include "lavenderhoist/cluster/gossip_service.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
+#include "lavenderhoist/cluster/peer_client.hpp"
 #include "lavenderhoist/records/record_store.hpp"
 
 #include <boost/asio/awaitable.hpp>
--- a/libs/node/src/gossip_service.cpp
+++ b/libs/cluster/src/gossip_service.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/gossip_service.hpp"
+#include "lavenderhoist/cluster/gossip_service.hpp"
 
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
--- a/libs/node/src/log_client.cpp
+++ b/libs/cluster/src/log_client.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/log_client.hpp"
+#include "lavenderhoist/cluster/log_client.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/src/log_follower.cpp
+++ b/libs/cluster/src/log_follower.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/log_follower.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/libs/node/src/log_keeper.cpp
+++ b/libs/cluster/src/log_keeper.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/log_keeper.hpp"
+#include "lavenderhoist/cluster/log_keeper.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/net/sleep.hpp"
--- a/libs/node/src/peer_client.cpp
+++ b/libs/cluster/src/peer_client.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/peer_client.hpp"
+#include "lavenderhoist/cluster/peer_client.hpp"
 
 #include "lavenderhoist/config/address.hpp"
 
--- a/libs/node/src/record_publisher.cpp
+++ b/libs/cluster/src/record_publisher.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/record_publisher.hpp"
+#include "lavenderhoist/cluster/record_publisher.hpp"
 
 #include <utility>
 
--- a/libs/node/src/record_relay.cpp
+++ b/libs/cluster/src/record_relay.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/record_relay.hpp"
+#include "lavenderhoist/cluster/record_relay.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/net/sleep.hpp"
--- a/libs/node/include/lavenderhoist/node/control_worker.hpp
+++ b/libs/node/include/lavenderhoist/node/control_worker.hpp
@@ -1,19 +1,19 @@
 #pragma once
 
+#include "lavenderhoist/cluster/gossip_service.hpp"
+#include "lavenderhoist/cluster/log_client.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
+#include "lavenderhoist/cluster/log_keeper.hpp"
+#include "lavenderhoist/cluster/peer_client.hpp"
+#include "lavenderhoist/cluster/record_publisher.hpp"
+#include "lavenderhoist/cluster/record_relay.hpp"
 #include "lavenderhoist/net/h2_server.hpp"
 #include "lavenderhoist/node/admin_api.hpp"
-#include "lavenderhoist/node/entry_worker.hpp"
-#include "lavenderhoist/node/gossip_service.hpp"
-#include "lavenderhoist/node/log_client.hpp"
-#include "lavenderhoist/node/log_follower.hpp"
-#include "lavenderhoist/node/log_keeper.hpp"
-#include "lavenderhoist/node/node_state.hpp"
 #include "lavenderhoist/node/order_coordinator.hpp"
-#include "lavenderhoist/node/peer_client.hpp"
-#include "lavenderhoist/node/record_publisher.hpp"
-#include "lavenderhoist/node/record_relay.hpp"
-#include "lavenderhoist/node/target_worker.hpp"
-#include "lavenderhoist/node/worker.hpp"
+#include "lavenderhoist/serving/entry_worker.hpp"
+#include "lavenderhoist/serving/node_state.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
+#include "lavenderhoist/serving/worker.hpp"
 
 #include <deque>
 #include <functional>
--- a/libs/node/include/lavenderhoist/node/node.hpp
+++ b/libs/node/include/lavenderhoist/node/node.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "lavenderhoist/node/control_worker.hpp"
-#include "lavenderhoist/node/entry_worker.hpp"
-#include "lavenderhoist/node/node_state.hpp"
-#include "lavenderhoist/node/target_worker.hpp"
+#include "lavenderhoist/serving/entry_worker.hpp"
+#include "lavenderhoist/serving/node_state.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
 
 #include <condition_variable>
 #include <memory>
--- a/libs/node/include/lavenderhoist/node/order_coordinator.hpp
+++ b/libs/node/include/lavenderhoist/node/order_coordinator.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "lavenderhoist/node/gossip_service.hpp"
-#include "lavenderhoist/node/lease_grant.hpp"
-#include "lavenderhoist/node/log_follower.hpp"
-#include "lavenderhoist/node/node_state.hpp"
-#include "lavenderhoist/node/order_keeper.hpp"
-#include "lavenderhoist/node/peer_client.hpp"
-#include "lavenderhoist/node/record_publisher.hpp"
-#include "lavenderhoist/node/record_relay.hpp"
-#include "lavenderhoist/node/target_worker.hpp"
+#include "lavenderhoist/cluster/gossip_service.hpp"
+#include "lavenderhoist/cluster/log_follower.hpp"
+#include "lavenderhoist/cluster/peer_client.hpp"
+#include "lavenderhoist/cluster/record_publisher.hpp"
+#include "lavenderhoist/cluster/record_relay.hpp"
+#include "lavenderhoist/order_service/lease_grant.hpp"
+#include "lavenderhoist/order_service/order_keeper.hpp"
 #include "lavenderhoist/orders/lease.hpp"
+#include "lavenderhoist/serving/node_state.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/libs/node/src/admin_api.cpp
+++ b/libs/node/src/admin_api.cpp
@@ -1,7 +1,7 @@
 #include "lavenderhoist/node/admin_api.hpp"
 
-#include "lavenderhoist/node/call_codec.hpp"
-#include "lavenderhoist/node/problem.hpp"
+#include "lavenderhoist/call/call_codec.hpp"
+#include "lavenderhoist/call/problem.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/src/control_worker.cpp
+++ b/libs/node/src/control_worker.cpp
@@ -1,9 +1,9 @@
 #include "lavenderhoist/node/control_worker.hpp"
 
+#include "lavenderhoist/call/call_codec.hpp"
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/logging.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/node/call_codec.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/include/lavenderhoist/node/order_keeper.hpp
+++ b/libs/order_service/include/lavenderhoist/order_service/order_keeper.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "lavenderhoist/call/call.hpp"
 #include "lavenderhoist/net/signal.hpp"
-#include "lavenderhoist/node/call.hpp"
-#include "lavenderhoist/node/lease_grant.hpp"
+#include "lavenderhoist/order_service/lease_grant.hpp"
 #include "lavenderhoist/orders/key_table.hpp"
 #include "lavenderhoist/orders/ownership.hpp"
 
--- a/libs/node/src/order_keeper.cpp
+++ b/libs/order_service/src/order_keeper.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/order_keeper.hpp"
+#include "lavenderhoist/order_service/order_keeper.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/retry/retry_after.hpp"
@@ -201,8 +201,7 @@
         if (table_.any_running(moves_there)) {
             return std::nullopt;
         }
-        result[taker.id] = {service, epoch, self, *horizon,
-                            table_.export_finished(moves_there)};
+        result[taker.id] = {service, epoch, self, *horizon, table_.export_finished(moves_there)};
     }
     return result;
 }
--- a/libs/node/include/lavenderhoist/node/admission_gate.hpp
+++ b/libs/serving/include/lavenderhoist/serving/admission_gate.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "lavenderhoist/admission/controller.hpp"
+#include "lavenderhoist/call/call.hpp"
 #include "lavenderhoist/net/cancellation.hpp"
 #include "lavenderhoist/net/signal.hpp"
-#include "lavenderhoist/node/call.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/libs/node/include/lavenderhoist/node/caller_front.hpp
+++ b/libs/serving/include/lavenderhoist/serving/caller_front.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lavenderhoist/node/call.hpp"
-#include "lavenderhoist/node/routing_view.hpp"
+#include "lavenderhoist/call/call.hpp"
+#include "lavenderhoist/serving/routing_view.hpp"
 
 #include <memory>
 #include <random>
--- a/libs/node/include/lavenderhoist/node/dispatcher.hpp
+++ b/libs/serving/include/lavenderhoist/serving/dispatcher.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "lavenderhoist/call/call.hpp"
 #include "lavenderhoist/metrics/recorder.hpp"
 #include "lavenderhoist/net/h2_pool.hpp"
-#include "lavenderhoist/node/call.hpp"
-#include "lavenderhoist/node/node_state.hpp"
 #include "lavenderhoist/retry/credit_account.hpp"
 #include "lavenderhoist/retry/retry_budget.hpp"
 #include "lavenderhoist/routing/level_memory.hpp"
 #include "lavenderhoist/routing/selector.hpp"
 #include "lavenderhoist/routing/target_state.hpp"
+#include "lavenderhoist/serving/node_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/libs/node/include/lavenderhoist/node/entry_worker.hpp
+++ b/libs/serving/include/lavenderhoist/serving/entry_worker.hpp
@@ -2,11 +2,11 @@
 
 #include "lavenderhoist/metrics/recorder.hpp"
 #include "lavenderhoist/net/http_server.hpp"
-#include "lavenderhoist/node/caller_front.hpp"
-#include "lavenderhoist/node/dispatcher.hpp"
-#include "lavenderhoist/node/node_state.hpp"
-#include "lavenderhoist/node/refusal_log.hpp"
-#include "lavenderhoist/node/worker.hpp"
+#include "lavenderhoist/serving/caller_front.hpp"
+#include "lavenderhoist/serving/dispatcher.hpp"
+#include "lavenderhoist/serving/node_state.hpp"
+#include "lavenderhoist/serving/refusal_log.hpp"
+#include "lavenderhoist/serving/worker.hpp"
 
 #include <memory>
 #include <optional>
--- a/libs/node/include/lavenderhoist/node/node_state.hpp
+++ b/libs/serving/include/lavenderhoist/serving/node_state.hpp
@@ -2,7 +2,7 @@
 
 #include "lavenderhoist/config/node_settings.hpp"
 #include "lavenderhoist/core/rcu_cell.hpp"
-#include "lavenderhoist/node/routing_view.hpp"
+#include "lavenderhoist/serving/routing_view.hpp"
 
 #include <atomic>
 
--- a/libs/node/include/lavenderhoist/node/parent_call.hpp
+++ b/libs/serving/include/lavenderhoist/serving/parent_call.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/call/call.hpp"
 #include "lavenderhoist/net/cancellation.hpp"
-#include "lavenderhoist/node/call.hpp"
 #include "lavenderhoist/retry/credit_account.hpp"
 
 #include <map>
--- a/libs/node/include/lavenderhoist/node/refusal_log.hpp
+++ b/libs/serving/include/lavenderhoist/serving/refusal_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lavenderhoist/node/call.hpp"
+#include "lavenderhoist/call/call.hpp"
 
 #include <boost/json/fwd.hpp>
 
--- a/libs/node/src/admission_gate.cpp
+++ b/libs/serving/src/admission_gate.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/admission_gate.hpp"
+#include "lavenderhoist/serving/admission_gate.hpp"
 
 #include "lavenderhoist/net/cancel_scope.hpp"
 
--- a/libs/node/src/announcement.cpp
+++ b/libs/serving/src/announcement.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/announcement.hpp"
+#include "lavenderhoist/serving/announcement.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/src/caller_front.cpp
+++ b/libs/serving/src/caller_front.cpp
@@ -1,7 +1,7 @@
-#include "lavenderhoist/node/caller_front.hpp"
+#include "lavenderhoist/serving/caller_front.hpp"
 
+#include "lavenderhoist/call/call_codec.hpp"
 #include "lavenderhoist/core/hash.hpp"
-#include "lavenderhoist/node/call_codec.hpp"
 
 #include <algorithm>
 #include <array>
--- a/libs/node/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -1,7 +1,7 @@
-#include "lavenderhoist/node/dispatcher.hpp"
+#include "lavenderhoist/serving/dispatcher.hpp"
 
+#include "lavenderhoist/call/call_codec.hpp"
 #include "lavenderhoist/core/hash.hpp"
-#include "lavenderhoist/node/call_codec.hpp"
 #include "lavenderhoist/retry/retry_after.hpp"
 #include "lavenderhoist/routing/subset.hpp"
 
--- a/libs/node/src/entry_worker.cpp
+++ b/libs/serving/src/entry_worker.cpp
@@ -1,9 +1,9 @@
-#include "lavenderhoist/node/entry_worker.hpp"
+#include "lavenderhoist/serving/entry_worker.hpp"
 
+#include "lavenderhoist/call/problem.hpp"
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/node/problem.hpp"
 
 #include <random>
 #include <utility>
--- a/libs/node/src/refusal_log.cpp
+++ b/libs/serving/src/refusal_log.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/refusal_log.hpp"
+#include "lavenderhoist/serving/refusal_log.hpp"
 
 #include <boost/json.hpp>
 
--- a/libs/node/src/target_health.cpp
+++ b/libs/serving/src/target_health.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/target_health.hpp"
+#include "lavenderhoist/serving/target_health.hpp"
 
 #include <algorithm>
 
--- a/libs/node/src/target_worker.cpp
+++ b/libs/serving/src/target_worker.cpp
@@ -1,8 +1,8 @@
-#include "lavenderhoist/node/target_worker.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
 
+#include "lavenderhoist/call/problem.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/node/problem.hpp"
 
 #include <algorithm>
 #include <random>
--- a/libs/node/src/target_worker_calls.cpp
+++ b/libs/serving/src/target_worker_calls.cpp
@@ -1,12 +1,12 @@
 // The calls of other nodes: ownership of orders, admission, the exchange with the target.
 
+#include "lavenderhoist/call/call_codec.hpp"
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/net/deadline_guard.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 #include "lavenderhoist/net/timer.hpp"
-#include "lavenderhoist/node/call_codec.hpp"
-#include "lavenderhoist/node/target_worker.hpp"
 #include "lavenderhoist/retry/retry_after.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/libs/node/src/target_worker_egress.cpp
+++ b/libs/serving/src/target_worker_egress.cpp
@@ -1,11 +1,11 @@
 // The calls that the target itself makes: it is their entry.
 
+#include "lavenderhoist/call/call_codec.hpp"
+#include "lavenderhoist/call/problem.hpp"
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/net/cancel_scope.hpp"
-#include "lavenderhoist/node/call_codec.hpp"
-#include "lavenderhoist/node/problem.hpp"
-#include "lavenderhoist/node/target_worker.hpp"
 #include "lavenderhoist/retry/retry_after.hpp"
+#include "lavenderhoist/serving/target_worker.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/libs/node/src/worker.cpp
+++ b/libs/serving/src/worker.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/worker.hpp"
+#include "lavenderhoist/serving/worker.hpp"
 
 #include "lavenderhoist/core/rcu_cell.hpp"
 
--- a/libs/node/test/poison_watch_test.cpp
+++ b/libs/serving/test/poison_watch_test.cpp
@@ -1,4 +1,4 @@
-#include "lavenderhoist/node/poison_watch.hpp"
+#include "lavenderhoist/serving/poison_watch.hpp"
 
 #include <gtest/gtest.h>
 
