--- a/libs/agent/include/lavenderhoist/agent/agent_settings.hpp
+++ b/libs/agent/include/lavenderhoist/agent/agent_settings.hpp
@@ -19,6 +19,7 @@
     config::address target;                ///< Where the target takes requests.
     config::address callers;               ///< Listener for callers and for the own target's calls.
     config::address calls;                 ///< Listener for request streams of other nodes.
+    config::address advertised_calls;      ///< Where other nodes reach `calls`.
     config::address control;               ///< Listener for the own target's announcements.
     config::address ready;                 ///< Listener for the question whether the node serves.
     config::address metrics;               ///< Listener for metrics.
--- a/libs/agent/src/agent_settings.cpp
+++ b/libs/agent/src/agent_settings.cpp
@@ -41,6 +41,7 @@
         settings.service = reader.string("service");
         settings.target = reader.network_address("target");
         reader.child("listen", [&](object_reader& r) { read_listeners(r, settings); });
+        settings.advertised_calls = reader.network_address("advertised_calls", settings.calls);
         settings.store = reader.network_address("store");
         reader.each("contacts", false, [&](const auto& element, const auto& path) {
             const auto* const given = element.if_string();
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -71,7 +71,7 @@
     for (const auto& contact : settings_.contacts) {
         // Listeners have the same ports on all hosts of a deployment.
         if (contact.host != settings_.calls.host) {
-            found.push_back(net::make_endpoint(contact.host, settings_.calls.port));
+            found.push_back(net::make_endpoint(contact.host, settings_.advertised_calls.port));
         }
     }
     return found;
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -220,7 +220,7 @@
     mesh::host_record record;
     record.id = settings_.id;
     record.data_centre = settings_.data_centre;
-    record.calls = settings_.calls;
+    record.calls = settings_.advertised_calls;
     record.node_stopping = stopping_;
     record.state = target_.state();
     if (const auto* const known = target_.current()) {
--- a/libs/config/include/lavenderhoist/config/internal/object_reader.hpp
+++ b/libs/config/include/lavenderhoist/config/internal/object_reader.hpp
@@ -45,7 +45,7 @@
     std::string one_of(std::string_view name, const std::vector<std::string>& values,
                        const std::string& fallback);
     bool boolean(std::string_view name, bool fallback);
-    address network_address(std::string_view name);
+    address network_address(std::string_view name, std::optional<address> fallback = std::nullopt);
 
     /** \brief Calls `read` with each element of an array, and with the element's path. */
     void each(std::string_view name, bool required,
--- a/libs/config/src/object_reader.cpp
+++ b/libs/config/src/object_reader.cpp
@@ -118,7 +118,10 @@
     return value->as_bool();
 }
 
-address object_reader::network_address(std::string_view name) {
+address object_reader::network_address(std::string_view name, std::optional<address> fallback) {
+    if (fallback && find(name) == nullptr) {
+        return *fallback;
+    }
     const auto text = string(name);
     auto parsed = parse_address(text);
     if (!parsed && !text.empty()) {
--- a/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
+++ b/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
@@ -72,8 +72,7 @@
         }
         if (failed) {
             co_return failed == boost::asio::error::eof
-                ? boost::beast::http::make_error_code(
-                      boost::beast::http::error::end_of_stream)
+                ? boost::beast::http::make_error_code(boost::beast::http::error::end_of_stream)
                 : failed;
         }
     }
--- a/libs/net/test/http_link_test.cpp
+++ b/libs/net/test/http_link_test.cpp
@@ -126,7 +126,7 @@
 
 RC_GTEST_PROP(http_link, gives_the_own_answer_or_an_error, ()) {
     const auto kind = rc::gen::map(rc::gen::inRange(0, static_cast<int>(piece::count)),
-                               [](int number) { return static_cast<piece>(number); });
+                                   [](int number) { return static_cast<piece>(number); });
     const auto script = *rc::gen::container<std::vector<piece>>(kind);
     const auto piece_bytes = *rc::gen::inRange<std::size_t>(1, 200);
     for (const auto what : script) {
--- a/libs/net/test/http_session_test.cpp
+++ b/libs/net/test/http_session_test.cpp
@@ -15,8 +15,7 @@
 /** A session whose handler keeps what it is given and answers at once. */
 class served_connection {
 public:
-    served_connection()
-        : ends_(test::make_pair(context_)), peers_(std::move(ends_.peers)) {
+    served_connection() : ends_(test::make_pair(context_)), peers_(std::move(ends_.peers)) {
         auto handlers = std::make_shared<http_session::events>();
         handlers->on_request = [this](const std::shared_ptr<http_session>& session,
                                       request message) {
@@ -102,9 +101,8 @@
 
 TEST(http_session, reads_an_empty_body_in_chunks_byte_by_byte) {
     served_connection connection;
-    connection.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                        chunked("", 1),
-                    1);
+    connection.send(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("", 1), 1);
     ASSERT_EQ(connection.seen().size(), 1U);
     EXPECT_TRUE(connection.seen().front().body.empty());
 }
@@ -142,7 +140,8 @@
 
 TEST(http_session, rejects_what_is_too_large_with_its_status) {
     served_connection many_fields;
-    many_fields.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(4'000, 'x') + "\r\n\r\n");
+    many_fields.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(4'000, 'x') +
+                     "\r\n\r\n");
     EXPECT_EQ(many_fields.rejected(), 431);
     served_connection long_body;
     long_body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
--- a/libs/orders/test/ownership_test.cpp
+++ b/libs/orders/test/ownership_test.cpp
@@ -62,7 +62,8 @@
     for (const std::int64_t epoch : {2, 3}) {
         hand_over(a, epoch, {&b, &c}, now);
     }
-    EXPECT_TRUE(b.horizon_to_hand_over(3, now)) << "it waits for the first owner's table of epoch 2";
+    EXPECT_TRUE(b.horizon_to_hand_over(3, now))
+        << "it waits for the first owner's table of epoch 2";
     hand_over(b, 3, {&a, &c}, now);
     EXPECT_TRUE(b.is_settled(now));
     EXPECT_TRUE(c.is_settled(now));
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -100,6 +100,7 @@
                             {"control", config::to_string(which.control)},
                             {"ready", config::to_string(which.ready)},
                             {"metrics", config::to_string(which.metrics)}}},
+                          {"advertised_calls", config::to_string(which.advertised_calls)},
                           {"store", which.callers.host + ":" + std::to_string(ports_[7])},
                           {"contacts", json::array{"127.0.0.2:" + std::to_string(ports_[2])}},
                           {"repeats", {{"ratio", 0.2}, {"extra", 48}, {"window_ms", 10'000}}},
@@ -115,6 +116,7 @@
     const auto ip = "127.0.0." + std::to_string(hosts_.size() + 2);
     made->callers = {ip, ports_[0]};
     made->calls = {ip, ports_[1]};
+    made->advertised_calls = {ip, ports_[8]};
     made->control = {ip, ports_[2]};
     made->ready = {ip, ports_[3]};
     made->metrics = {ip, ports_[4]};
@@ -137,8 +139,11 @@
         made->to_target =
             std::make_unique<fault_proxy>(context_, settings.announced, settings.where);
         made->to_store = std::make_unique<fault_proxy>(context_, store_proxy, store_address_);
+        made->to_node =
+            std::make_unique<fault_proxy>(context_, made->advertised_calls, made->calls);
         made->to_target->start();
         made->to_store->start();
+        made->to_node->start();
     });
     write_settings(*made, service, data_centre);
     start_node(*made);
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -27,6 +27,7 @@
     std::string id;
     config::address callers;
     config::address calls;
+    config::address advertised_calls;
     config::address control;
     config::address ready;
     config::address metrics;
@@ -36,6 +37,7 @@
     std::unique_ptr<platform::stub_backend> target;
     std::unique_ptr<fault_proxy> to_target; ///< Between the node and its target.
     std::unique_ptr<fault_proxy> to_store;  ///< Between the node and the store.
+    std::unique_ptr<fault_proxy> to_node;   ///< Between other nodes and the node.
 };
 
 /** \brief A route of the configuration. */
@@ -123,7 +125,7 @@
     std::thread thread_;
     std::string folder_;
     config::address store_address_;
-    std::array<std::uint16_t, 8> ports_{};
+    std::array<std::uint16_t, 9> ports_{};
     std::unique_ptr<platform::stub_store> store_;
     std::vector<std::unique_ptr<host>> hosts_;
     std::vector<route_spec> routes_;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/harness/http.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <utility>
 
@@ -135,11 +136,12 @@
 }
 
 void fault_plan::inject_path_fault(host& victim) {
-    const bool at_target = draw(2) == 0;
-    auto* const path = at_target ? victim.to_target.get() : victim.to_store.get();
+    constexpr std::array names{"target path ", "store path ", "node path "};
+    const std::array paths{victim.to_target.get(), victim.to_store.get(), victim.to_node.get()};
+    const auto which = static_cast<std::size_t>(draw(static_cast<int>(paths.size())));
+    auto* const path = paths.at(which);
     const auto mode = static_cast<proxy_mode>(draw(5));
-    note((at_target ? "target path " : "store path ") + std::to_string(static_cast<int>(mode)),
-         &victim);
+    note(names.at(which) + std::to_string(static_cast<int>(mode)), &victim);
     world_.run_here([&] {
         if (mode == proxy_mode::pass) {
             path->reset_all();
