Logs: fewer than one line a second are written; failures of targets are logged like other failures

A target's own 500, which is how a caller learns of a call that was turned away further down, counted as answered and was missing as well. Test: line_budget.fewer_than_one_line_a_second_are_written_as_well (failed before).

--- a/libs/logging/include/lavenderhoist/logging/line_budget.hpp
+++ b/libs/logging/include/lavenderhoist/logging/line_budget.hpp
@@ -7,7 +7,7 @@
 namespace lavenderhoist::logging {
 
 /**
- * \brief Bounds the lines of one kind: a number a second, with a burst of as many.
+ * \brief Bounds the lines of one kind: a number a second, with a burst of as many, or of one.
  *
  * Not thread-safe.
  */
--- a/libs/logging/src/line_budget.cpp
+++ b/libs/logging/src/line_budget.cpp
@@ -7,7 +7,8 @@
 
 bool line_budget::take(time_point now) noexcept {
     const std::chrono::duration<double> passed = now - last_;
-    balance_ = std::min(rate_, balance_ + rate_ * passed.count());
+    const double most = std::max(1.0, rate_); // a whole line must fit in
+    balance_ = std::min(most, balance_ + rate_ * passed.count());
     last_ = now;
     if (balance_ < 1) {
         ++suppressed_;
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int first_error_status = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -53,7 +54,8 @@
     const auto now = runtime_clock::now();
     counters_.observe(request->route->name, request->request.caller, outcome::completed,
                       now - request->began);
-    if (success_lines_.take(now)) {
+    const bool has_failed = message.status >= first_error_status;
+    if ((has_failed ? failure_lines_ : success_lines_).take(now)) {
         log_end(*request, nullptr, message.status);
     }
     const auto session = request->session;
@@ -158,7 +160,8 @@
         details["peer"] = failed->failure.peer;
         details["execution"] = to_string(request.plan.proven());
     }
-    logging::log_line(failed == nullptr ? logging::severity::info : logging::severity::warning,
+    const bool is_fine = failed == nullptr && status < first_error_status;
+    logging::log_line(is_fine ? logging::severity::info : logging::severity::warning,
                       failed == nullptr ? "request answered" : "request given up",
                       std::move(details));
 }
