Control: larger deployments gather host records for longer before they wait again

Change: hosts_gather() bounds the waits of all nodes to 40 a second, between 0.5 s (as before) and 2 s. The comparison with other nodes tells news that is on its way (the own version moves, or has stood still for no longer than the gathering) from news that was missed (lag_watch). Ruled out: a few nodes that wait for the others (more to go wrong at cuts, for little more here); gathering configurations for longer (their bound is 2 s).

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/agent/agent_settings.hpp"
+#include "lavenderhoist/agent/internal/lag_watch.hpp"
 #include "lavenderhoist/agent/platform_codec.hpp"
 #include "lavenderhoist/agent/store_client.hpp"
 #include "lavenderhoist/agent/topic_follower.hpp"
@@ -83,6 +84,8 @@
     mesh::directory directory_;
     mesh::target_lifecycle target_;
     time_point last_comparison_;
+    internal::lag_watch configuration_lag_;
+    internal::lag_watch hosts_lag_;
     mesh::routing_table_ptr table_;
     std::string configuration_text_;
     std::shared_ptr<const std::vector<mesh::host_record>> listed_hosts_;
@@ -95,7 +98,6 @@
     time_point started_;
     bool restored_{false}; ///< It is known what this host published before.
     bool hosts_are_current_{false};
-    bool was_behind_{false}; ///< At the last comparison; news takes a moment to arrive.
     bool stopping_{false};
 };
 
--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -31,6 +31,11 @@
     /** \brief Runs until the executor's context stops. */
     boost::asio::awaitable<void> run();
 
+    /** \brief Changes how long to gather records from now on. */
+    void set_gather(duration gather) noexcept { gather_ = gather; }
+
+    duration gather() const noexcept { return gather_; }
+
     bool is_lost() const noexcept { return lost_; }
 
 private:
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -29,6 +29,9 @@
  * ends only after its whole length; other nodes show earlier that there was one. */
 constexpr duration comparison_interval = std::chrono::milliseconds(400);
 
+/** Answers of the store to the waits of all nodes arrive within this time of each other. */
+constexpr duration answer_time = std::chrono::milliseconds(300);
+
 } // namespace
 
 void control_worker::share_state() {
@@ -117,15 +120,20 @@
     if (!theirs) {
         co_return; // it is down or starting; the next comparison is with another node
     }
-    const bool is_behind =
-        theirs->configuration > table_->version() || theirs->newest_host > newest_host_offset();
-    if (is_behind && std::exchange(was_behind_, true)) {
-        log_line(
-            severity::warning, "behind another node",
-            {{"configuration", table_->version()}, {"their_configuration", theirs->configuration}});
+    const auto now = runtime_clock::now();
+    const auto newest_host = newest_host_offset();
+    const bool lacks_configuration = configuration_lag_.has_missed_news(
+        table_->version(), theirs->configuration, answer_time, now);
+    const bool lacks_hosts = hosts_lag_.has_missed_news(newest_host, theirs->newest_host,
+                                                        hosts_.gather() + answer_time, now);
+    if (lacks_configuration || lacks_hosts) {
+        log_line(severity::warning, "behind another node",
+                 {{"configuration", table_->version()},
+                  {"their_configuration", theirs->configuration},
+                  {"newest_host", newest_host},
+                  {"their_newest_host", theirs->newest_host}});
         co_await ask_peer(peer);
     }
-    was_behind_ = is_behind;
 }
 
 asio::awaitable<void> control_worker::ask_peer(net::tcp::endpoint peer) {
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -1,6 +1,7 @@
 #include "lavenderhoist/agent/control_worker.hpp"
 
 #include "lavenderhoist/agent/internal/endpoint_of.hpp"
+#include "lavenderhoist/agent/internal/store_pace.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -39,11 +40,9 @@
 /** The request path counts as stuck, and the node as not ready, after this time without a turn. */
 constexpr duration data_stuck_time = std::chrono::seconds(2);
 
-/** How long records are gathered before the next wait. Configurations must be in force within two
- * seconds; of hosts that leave, the own node refuses work at once, so their records may take
- * longer. */
+/** How long records are gathered before the next wait: configurations must be in force within two
+ * seconds. */
 constexpr duration configuration_gather = std::chrono::milliseconds(80);
-constexpr duration hosts_gather = std::chrono::milliseconds(500);
 
 constexpr std::size_t max_peer_answer_bytes = 16U << 20U;
 
@@ -86,7 +85,8 @@
       store_(context.get_executor(), endpoint_of(settings.store), codec),
       configuration_(context.get_executor(), store_, topic::configuration, configuration_gather,
                      events_for(topic::configuration)),
-      hosts_(context.get_executor(), store_, topic::hosts, hosts_gather, events_for(topic::hosts)),
+      hosts_(context.get_executor(), store_, topic::hosts, internal::hosts_gather(0),
+             events_for(topic::hosts)),
       peers_(context.get_executor(), max_peer_answer_bytes),
       listed_hosts_(std::make_shared<std::vector<mesh::host_record>>()),
       publish_wake_(context.get_executor()),
@@ -192,6 +192,7 @@
     for (const auto& [id, placed] : directory_.hosts()) {
         listed.push_back(placed.record);
     }
+    hosts_.set_gather(internal::hosts_gather(listed.size()));
     listed_hosts_ = std::make_shared<const std::vector<mesh::host_record>>(std::move(listed));
 }
 
--- /dev/null
+++ b/libs/agent/src/lag_watch.cpp
@@ -0,0 +1,18 @@
+#include "lavenderhoist/agent/internal/lag_watch.hpp"
+
+namespace lavenderhoist::agent::internal {
+
+bool lag_watch::has_missed_news(std::int64_t own, std::int64_t theirs, duration patience,
+                                time_point now) {
+    if (theirs <= own) {
+        behind_since_.reset();
+        return false;
+    }
+    if (!behind_since_ || own != own_) {
+        own_ = own;
+        behind_since_ = now;
+    }
+    return now - *behind_since_ > patience;
+}
+
+} // namespace lavenderhoist::agent::internal
