Entry: targets of which nothing was heard don't hide the admission level of a chain

A node told the lowest level of all targets of a callee's service. Calls of work under way keep to the nearest target, so those that were never asked counted as open, and so did targets that were left out for refusing everything (they were leaving, unheard of since the store was away). Ruled out: asking all targets of all callees (a question each 150 ms for each pair); counting targets that are left out like others (trial: leaving targets then open the level for as long as the store is away). Seconds 34 to 40, after a restart of all, still fail in this way: one target in use that has not heard of the level yet opens it for all.

--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -7,6 +7,9 @@
 #include "lavenderhoist/routing/level_memory.hpp"
 #include "lavenderhoist/routing/target_state.hpp"
 
+#include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -35,9 +38,13 @@
     mesh::option option(const std::string& route, time_point now) const;
 
     void on_sent() noexcept;
+
     /** \brief The admission level that requests of a route meet there, as last heard. */
     admission::priority level(const std::string& route, time_point now) const;
 
+    /** \brief The same, or nothing if none was heard within its lifetime. */
+    std::optional<admission::priority> known_level(const std::string& route, time_point now) const;
+
     /** \brief True if a level that is in force for the route was heard longer ago than `age`. */
     bool has_stale_level(const std::string& route, duration age, time_point now) const;
 
@@ -66,4 +73,14 @@
     int sent_since_report_{0};
 };
 
+/**
+ * \brief The lowest level that requests of a route meet at the ready targets of a service.
+ *
+ * Targets of which nothing was heard lately don't count: calls of work under way keep to the
+ * nearest ones, and those that they never reach would look open for ever. Open if nothing was heard
+ * at all.
+ */
+admission::priority lowest_known_level(std::span<const std::shared_ptr<known_target>> targets,
+                                       const std::string& route, time_point now);
+
 } // namespace lavenderhoist::relay
--- a/libs/relay/src/entry_levels.cpp
+++ b/libs/relay/src/entry_levels.cpp
@@ -23,16 +23,7 @@
     if (found == services_.end()) {
         return admission::open_level;
     }
-    auto lowest = admission::closed_level;
-    bool any = false;
-    for (const auto& target : found->second.targets) {
-        if (!target->takes_work(now)) {
-            continue;
-        }
-        any = true;
-        lowest = std::min(lowest, target->level(route, now));
-    }
-    return any ? lowest : admission::open_level;
+    return lowest_known_level(found->second.targets, route, now);
 }
 
 std::optional<admission::priority> entry::callee_level(const std::string& route) const {
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -21,8 +21,16 @@
 }
 
 admission::priority known_target::level(const std::string& route, time_point now) const {
+    return known_level(route, now).value_or(admission::open_level);
+}
+
+std::optional<admission::priority> known_target::known_level(const std::string& route,
+                                                             time_point now) const {
     const auto heard = levels_.find(route);
-    return heard == levels_.end() ? admission::open_level : heard->second.memory.level(now);
+    if (heard == levels_.end() || now - heard->second.when >= routing::level_memory::lifetime) {
+        return std::nullopt;
+    }
+    return heard->second.memory.level(now);
 }
 
 bool known_target::has_stale_level(const std::string& route, duration age, time_point now) const {
@@ -45,4 +53,18 @@
     heard.when = now;
 }
 
+admission::priority lowest_known_level(std::span<const std::shared_ptr<known_target>> targets,
+                                       const std::string& route, time_point now) {
+    std::optional<admission::priority> lowest;
+    for (const auto& target : targets) {
+        const auto known = target->known_level(route, now);
+        // A target that is left out for a moment still says what its callers will meet.
+        if (!known || target->record().state != mesh::target_state::ready) {
+            continue;
+        }
+        lowest = std::min(lowest.value_or(*known), *known);
+    }
+    return lowest.value_or(admission::open_level);
+}
+
 } // namespace lavenderhoist::relay
