--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -55,16 +55,17 @@
 
 admission::priority lowest_known_level(std::span<const std::shared_ptr<known_target>> targets,
                                        const std::string& route, time_point now) {
-    std::optional<admission::priority> lowest;
+    std::optional<admission::priority> available;
+    std::optional<admission::priority> left_out;
     for (const auto& target : targets) {
         const auto known = target->known_level(route, now);
-        // A target that is left out for a moment still says what its callers will meet.
         if (!known || target->record().state != mesh::target_state::ready) {
             continue;
         }
+        auto& lowest = target->takes_work(now) ? available : left_out;
         lowest = std::min(lowest.value_or(*known), *known);
     }
-    return lowest.value_or(admission::open_level);
+    return available.value_or(left_out.value_or(admission::open_level));
 }
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/test/known_target_test.cpp
+++ b/libs/relay/test/known_target_test.cpp
@@ -40,6 +40,30 @@
     EXPECT_EQ(lowest_known_level(targets, "other", start), admission::open_level);
 }
 
+void eject(known_target& target) {
+    for (int i = 0; i < 100 && target.takes_work(start); ++i) {
+        target.health().on_failure(start);
+    }
+    ASSERT_FALSE(target.takes_work(start));
+}
+
+// The load pattern: the store is away, so that nobody hears that a target leaves; it refuses all
+// and is left out for that, while the only other target is overloaded.
+TEST(lowest_known_level, a_target_that_is_left_out_does_not_hide_the_level) {
+    const std::vector targets{ready_target(), ready_target()};
+    targets[0]->on_report(route, {10, 3, 765}, start);
+    targets[1]->on_report(route, {0, 0, admission::open_level}, start);
+    eject(*targets[1]);
+    EXPECT_EQ(lowest_known_level(targets, route, start), 765);
+}
+
+TEST(lowest_known_level, holds_while_the_only_target_is_left_out) {
+    const std::vector targets{ready_target()};
+    targets[0]->on_report(route, {10, 3, 765}, start);
+    eject(*targets[0]);
+    EXPECT_EQ(lowest_known_level(targets, route, start), 765);
+}
+
 TEST(lowest_known_level, a_leaving_target_does_not_count) {
     const std::vector targets{ready_target(), ready_target()};
     targets[0]->on_report(route, {10, 3, 765}, start);
