--- a/libs/order_service/include/lavenderhoist/order_service.hpp
+++ b/libs/order_service/include/lavenderhoist/order_service.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** \file \brief Umbrella header: orders of one target: who may run them, and the table's hand-over. */
+/** \file \brief Umbrella header: who may run the orders of a target, and the table's hand-over. */
 
 #include "lavenderhoist/order_service/lease_grant.hpp"
 #include "lavenderhoist/order_service/order_keeper.hpp"
--- a/libs/serving/include/lavenderhoist/serving.hpp
+++ b/libs/serving/include/lavenderhoist/serving.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/** \file \brief Umbrella header: the request path of lh-node: entries, the target's node, the target's own calls. */
+/** \file \brief Umbrella header: the request path of lh-node. */
 
 #include "lavenderhoist/serving/admission_gate.hpp"
 #include "lavenderhoist/serving/announcement.hpp"
