Logs: target load and ends of requests, once a second

From the logs it can't be told whether refused reads meet idle slots, a target that sheds, or a level that moves without a cause; nor how many chains fail after work upstream, since lines about single requests are a sample.

Change: two lines a second and node, 'target load' (sums and peaks of the admission windows, levels below by route) and 'requests ended' (whole counts by route and cause). No decision reads them.

--- a/libs/admission/include/lavenderhoist/admission.hpp
+++ b/libs/admission/include/lavenderhoist/admission.hpp
@@ -8,3 +8,4 @@
 #include "lavenderhoist/admission/objective_limit.hpp"
 #include "lavenderhoist/admission/priority.hpp"
 #include "lavenderhoist/admission/request_info.hpp"
+#include "lavenderhoist/admission/window_figures.hpp"
--- a/libs/admission/include/lavenderhoist/admission/controller.hpp
+++ b/libs/admission/include/lavenderhoist/admission/controller.hpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/admission/level_estimator.hpp"
 #include "lavenderhoist/admission/request_info.hpp"
 #include "lavenderhoist/admission/wait_queue.hpp"
+#include "lavenderhoist/admission/window_figures.hpp"
 
 #include <algorithm>
 #include <array>
@@ -63,6 +64,9 @@
     /** \brief The admission level to tell callers. */
     priority level() const noexcept { return levels_.level(); }
 
+    /** \brief What the window that ended last saw. */
+    const window_figures& last_window() const noexcept { return last_window_; }
+
     /** \brief Mean time in a slot, smoothed. */
     duration service_time() const noexcept { return service_time_; }
 
@@ -77,6 +81,7 @@
     void start_waiting(time_point now, std::vector<decision>& out);
     void refuse_hopeless(time_point now, std::vector<decision>& out);
     void refuse_surplus(std::vector<decision>& out);
+    void record_window(const level_estimator::window& seen) noexcept;
     void note_service_time(duration spent) noexcept;
     duration wanted_wait() const noexcept;
     float wanted_fill(duration longest_wait) const noexcept;
@@ -92,8 +97,11 @@
     level_estimator levels_;
     std::unordered_map<std::uint64_t, running> running_;
     duration service_time_{0};
+    int offered_{0};
     int finished_{0};
+    int shed_{0};
     int refused_{0};
+    window_figures last_window_;
     std::array<duration, ranks> longest_waits_{}; // of this window, by rank
 };
 
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -25,6 +25,7 @@
 
 std::vector<decision> controller::offer(const request_info& request, time_point now) {
     std::vector<decision> out;
+    ++offered_;
     levels_.on_arrival(request.importance);
     if (request.deadline <= now + service_time_ / 2) {
         out.emplace_back(make_refusal(request.id, errc::deadline_passed));
@@ -72,6 +73,7 @@
     running_.erase(found);
     if (how == finish::shed) {
         limit_.on_shed(in_flight());
+        ++shed_;
     }
     if (how == finish::answered) {
         ++finished_;
@@ -103,7 +105,10 @@
     const bool is_saturated = queue_.size() > 0 && in_flight() >= limit();
     fill_.on_window(finished_, is_saturated && was_saturated_);
     was_saturated_ = is_saturated;
+    record_window(seen);
+    offered_ = 0;
     finished_ = 0;
+    shed_ = 0;
     refused_ = 0;
     longest_waits_.fill(duration(0));
     refuse_hopeless(now, out);
@@ -111,6 +116,21 @@
     return out;
 }
 
+void controller::record_window(const level_estimator::window& seen) noexcept {
+    last_window_ = {.offered = offered_,
+                    .finished = finished_,
+                    .shed = shed_,
+                    .refused = refused_,
+                    .capacity = seen.capacity,
+                    .limit = limit(),
+                    .learnt_limit = limit_.value(),
+                    .in_flight = in_flight(),
+                    .waiting = waiting(),
+                    .longest_wait = *std::ranges::max_element(longest_waits_),
+                    .overloaded = seen.overloaded,
+                    .level = level()};
+}
+
 void controller::start_waiting(time_point now, std::vector<decision>& out) {
     while (in_flight() < limit()) {
         const auto next = queue_.pop();
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/metrics/recorder.hpp"
 #include "lavenderhoist/net/deadline_queue.hpp"
 #include "lavenderhoist/net/http_session.hpp"
+#include "lavenderhoist/relay/outcome_log.hpp"
 #include "lavenderhoist/relay/peer_links.hpp"
 #include "lavenderhoist/relay/target_port.hpp"
 #include "lavenderhoist/relay/view.hpp"
@@ -75,6 +76,9 @@
     /** \brief Logs how many decision lines were suppressed since the last call. */
     void log_suppressed();
 
+    /** \brief Logs how the requests of each route ended since the last call. */
+    void log_outcomes();
+
 private:
     struct pending;
     struct known_service;
@@ -132,6 +136,7 @@
     std::unordered_map<net::http_session*, pending_ptr> pending_;
     logging::line_budget failure_lines_;
     logging::line_budget success_lines_;
+    outcome_log outcomes_;
     bool stopping_{false};
     bool refusing_{false};
 };
--- /dev/null
+++ b/libs/relay/include/lavenderhoist/relay/load_log.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "lavenderhoist/admission/window_figures.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+
+namespace lavenderhoist::relay {
+
+/**
+ * \brief Sums up the windows of a target's admission for one log line a second.
+ *
+ * A series of these lines tells apart what a single refusal can't: slots that stay empty while
+ * requests are refused, a target that sheds by itself, a level that moves without a cause here.
+ */
+class load_log {
+public:
+    /** \brief Adds a window. \returns a line's fields if a second is complete and had any work. */
+    std::optional<boost::json::object> add(const admission::window_figures& window);
+
+private:
+    static constexpr int windows_per_line = 10; // of a tenth of a second
+
+    struct sums {
+        int windows{0};
+        int offered{0};
+        int finished{0};
+        int shed{0};
+        int refused{0};
+        int capacity{0};
+        int in_flight{0};
+        int overloaded{0};
+        int most_waiting{0};
+        duration longest_wait{0};
+        admission::priority lowest_level{admission::closed_level};
+        admission::priority highest_level{admission::open_level};
+    };
+
+    sums sums_;
+};
+
+} // namespace lavenderhoist::relay
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/logging/line_budget.hpp"
 #include "lavenderhoist/net/deadline_queue.hpp"
 #include "lavenderhoist/net/http_link.hpp"
+#include "lavenderhoist/relay/load_log.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
 #include "lavenderhoist/relay/target_settings.hpp"
@@ -108,6 +109,7 @@
     void refuse_waiting(errc cause);
     void forget_links();
     void log_level();
+    void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
     std::optional<admission::priority> level_below(const std::string& route) const;
     route_state& state_of(const relay_request& request);
@@ -128,6 +130,7 @@
     callee_level callee_level_;
     time_point down_until_{};
     logging::line_budget failure_lines_;
+    load_log load_log_;
     bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
     totals totals_;
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -29,6 +29,9 @@
 /** Ticks between two looks at sessions and idle connections. */
 constexpr int ticks_per_sweep = 5;
 
+/** Ticks between two lines of sums: a second. */
+constexpr int ticks_per_sums = 10;
+
 /** Ticks between two lines about suppressed lines. */
 constexpr int ticks_per_report = 50;
 
@@ -164,6 +167,9 @@
     if (ticks % ticks_per_sweep == 0) {
         sweep();
     }
+    if (ticks % ticks_per_sums == 0) {
+        front.log_outcomes();
+    }
     if (ticks % ticks_per_report == 0) {
         front.log_suppressed();
     }
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -55,6 +55,7 @@
     counters_.observe(request->route->name, request->request.caller, outcome::completed,
                       now - request->began);
     const bool has_failed = message.status >= first_error_status;
+    outcomes_.on_answered(request->route->name, has_failed);
     if ((has_failed ? failure_lines_ : success_lines_).take(now)) {
         log_end(*request, nullptr, message.status);
     }
@@ -81,6 +82,8 @@
     }
     counters_.observe(request->route->name, request->request.caller,
                       has_not_run ? outcome::not_run : outcome::unknown, now - request->began);
+    outcomes_.on_given_up(request->route->name, static_cast<errc>(last.failure.code.value()),
+                          has_not_run);
     counters_.count("given_up." + last.failure.code.message());
     if (failure_lines_.take(now)) {
         log_end(*request, &last, status);
@@ -166,6 +169,14 @@
                       std::move(details));
 }
 
+void entry::log_outcomes() {
+    auto routes = outcomes_.take();
+    if (!routes.empty()) {
+        logging::log_line(logging::severity::info, "requests ended",
+                          {{"routes", std::move(routes)}});
+    }
+}
+
 void entry::log_suppressed() {
     const auto failures = failure_lines_.take_suppressed();
     const auto successes = success_lines_.take_suppressed();
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/logging/log.hpp"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
@@ -309,12 +310,33 @@
     if (controller_) {
         apply(controller_->on_window(runtime_clock::now()));
         log_level();
+        log_load();
     }
     for (auto& [name, route] : routes_) {
         route.limit.on_window(route.goal, runtime_clock::now());
     }
 }
 
+void target_port::log_load() {
+    auto line = load_log_.add(controller_->last_window());
+    if (!line) {
+        return;
+    }
+    (*line)["service_ms"] =
+        std::chrono::duration<double, std::milli>(controller_->service_time()).count();
+    boost::json::array routes;
+    for (const auto& [name, route] : routes_) {
+        boost::json::object one{
+            {"route", name}, {"limit", route.limit.value()}, {"at_work", route.limit.in_flight()}};
+        if (const auto below = level_below(name)) {
+            one["level_below"] = *below;
+        }
+        routes.emplace_back(std::move(one));
+    }
+    (*line)["routes"] = std::move(routes);
+    logging::log_line(logging::severity::info, "target load", std::move(*line));
+}
+
 void target_port::log_failure(const relay_request& request, const relay_answer& answer) {
     const auto now = runtime_clock::now();
     if (!failure_lines_.take(now)) {
