Admission: every class keeps a share of its own when higher ranks fill the scarcest service

Cause: strict order by rank without any share for the lower ranks. Once one of three targets of the deepest service leaves, permits alone fill the other two during the burst, and the level closes the lowest rank as a whole for as long as that lasts. Class of fault: starvation by strict priority.

Change: admission::guaranteed_share.

What is wasted in the first seconds and after a return is not touched by this change.

--- a/libs/admission/include/lavenderhoist/admission.hpp
+++ b/libs/admission/include/lavenderhoist/admission.hpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/admission/controller.hpp"
 #include "lavenderhoist/admission/decision.hpp"
 #include "lavenderhoist/admission/fill_seeker.hpp"
+#include "lavenderhoist/admission/guaranteed_share.hpp"
 #include "lavenderhoist/admission/objective_limit.hpp"
 #include "lavenderhoist/admission/priority.hpp"
 #include "lavenderhoist/admission/request_info.hpp"
--- a/libs/admission/include/lavenderhoist/admission/priority.hpp
+++ b/libs/admission/include/lavenderhoist/admission/priority.hpp
@@ -14,7 +14,14 @@
 using priority = int;
 
 inline constexpr int cohorts = 128;
-inline constexpr int ranks = 8;
+
+/** \brief The highest rank that a class may have. */
+inline constexpr int highest_class_rank = 7;
+
+/** \brief The rank of requests that are let in for the share that their class is guaranteed. */
+inline constexpr int guaranteed_rank = highest_class_rank + 1;
+
+inline constexpr int ranks = guaranteed_rank + 1;
 
 /** \brief A level that admits everything. */
 inline constexpr priority open_level = 0;
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -20,7 +20,11 @@
 constexpr priority idle_step = closed_level / 10; // per window without any arrival
 
 /** Lets every rank fill the capacity. */
-constexpr std::array<float, ranks> whole{1, 1, 1, 1, 1, 1, 1, 1};
+constexpr std::array<float, ranks> whole = [] {
+    std::array<float, ranks> shares{};
+    shares.fill(1);
+    return shares;
+}();
 
 /** The share of a rank's cohorts at or above a level. */
 float share_above(int rank, priority level) {
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderhoist/admission/guaranteed_share.hpp"
 #include "lavenderhoist/logging/line_budget.hpp"
 #include "lavenderhoist/mesh/placement.hpp"
 #include "lavenderhoist/mesh/repeat_budget.hpp"
@@ -97,6 +98,7 @@
     std::string_view parent_of(std::string_view id) const;
     const std::string& choose_service(const mesh::route& route);
     void place(const pending_ptr& request);
+    bool raise(pending& request);
     known_target_ptr choose(const pending& request, bool& all_refuse);
     std::vector<known_target_ptr> targets_for(const pending& request, bool stopping_too,
                                               time_point now);
@@ -134,6 +136,7 @@
     /** By route of the requests that the own target runs: the routes of the calls it makes. */
     std::unordered_map<std::string, std::vector<known_callee>> callees_;
     std::unordered_map<net::http_session*, pending_ptr> pending_;
+    admission::guaranteed_share guaranteed_; ///< By route.
     logging::line_budget failure_lines_;
     logging::line_budget success_lines_;
     outcome_log outcomes_;
--- a/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
@@ -35,6 +35,11 @@
     relay_answer last_failure;
     std::optional<net::response> own_failure; ///< A target's answer that another may replace.
     bool finished{false};
+
+    /** True if it was let in for the share that its route is guaranteed. */
+    bool is_guaranteed() const noexcept {
+        return admission::rank_of(request.importance) == admission::guaranteed_rank;
+    }
 };
 
 /** A service as this entry knows it. */
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -197,6 +197,9 @@
     service.budget.on_request(request->began, budget_limits());
     service.failure_budget.on_request(request->began, budget_limits());
     service.wanted[request->route->name] = request->began;
+    if (!request->request.under_way) {
+        guaranteed_.on_request(request->route->name);
+    }
     pending_[session.get()] = request;
     request->deadline = deadlines_.add(request->request.deadline + answer_grace, [this, request] {
         request->deadline.reset();
--- a/libs/relay/src/entry_tries.cpp
+++ b/libs/relay/src/entry_tries.cpp
@@ -1,5 +1,7 @@
 #include "lavenderhoist/relay/internal/entry_state.hpp"
 
+#include "lavenderhoist/core/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,13 @@
  * would multiply the calls to it. */
 constexpr double failure_repeat_ratio = 0.01;
 
+/** True if a request that has not run was refused for others that are at work or more important. */
+bool is_refused_by_load(const relay_answer& answer) {
+    const auto& cause = answer.failure.code;
+    return answer.result == execution::not_run &&
+           (cause == errc::overloaded || cause == errc::queue_full || cause == errc::refused_early);
+}
+
 } // namespace
 
 mesh::repeat_budget::limits entry::budget_limits() const {
@@ -70,9 +79,24 @@
     return index ? targets[*index] : nullptr;
 }
 
+bool entry::raise(pending& request) {
+    if (request.request.under_way || request.is_guaranteed() ||
+        !guaranteed_.take(request.route->name)) {
+        return false;
+    }
+    request.request.importance =
+        admission::make_priority(admission::guaranteed_rank, stable_hash(request.request.id));
+    request.tried.clear(); // who refused it may take it now
+    counters_.count("raised");
+    return true;
+}
+
 void entry::place(const pending_ptr& request) {
     bool all_refuse = false;
-    const auto target = choose(*request, all_refuse);
+    auto target = choose(*request, all_refuse);
+    if (!target && all_refuse && raise(*request)) {
+        target = choose(*request, all_refuse);
+    }
     if (!target) {
         auto failed = request->last_failure;
         if (request->plan.placements() == 0) {
@@ -171,6 +195,9 @@
         [[fallthrough]];
     case next_step::place_again:
         counters_.count(next == next_step::repeat ? "repeats" : "placed_again");
+        if (next == next_step::place_again && is_refused_by_load(answer)) {
+            raise(*request);
+        }
         request->last_failure = std::move(answer);
         place(request);
         return;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -140,7 +140,9 @@
     // Without calls further down a request holds no slots but its own, which admission counts.
     if (!request.under_way && level_below(request.route)) {
         auto& route = state_of(request);
-        if (!route.limit.admits()) {
+        const bool is_guaranteed =
+            admission::rank_of(request.importance) == admission::guaranteed_rank;
+        if (!route.limit.admits() && !is_guaranteed) {
             ++totals_.refused;
             auto answer =
                 make_failure(execution::not_run, errc::overloaded, step::admission, node_id_);
--- a/libs/serving/src/caller_front.cpp
+++ b/libs/serving/src/caller_front.cpp
@@ -10,6 +10,8 @@
 namespace lavenderhoist::node {
 namespace {
 
+static_assert(config::max_rank == admission::highest_class_rank);
+
 constexpr std::string_view key_field = "idempotency-key";
 constexpr std::string_view timeout_field = "lh-timeout-ms";
 constexpr std::string_view caller_field = "lh-caller";
