HTTP/1.1: answers without end are broken off after bounded bytes

Seen (endless_answer_test, 11 kinds): a chunk size, a chunk extension, a trailer or interim answers without end are read until the deadline, and what is unparsed grows with them; the client of the store and the log gives an interim answer to its caller as if it were final. Ten bodies without end at one target: 537 MB in a node that may have 160 to 260. Cause: Beast 1.81 bounds the head and the body of a message, but neither a chunk head nor a trailer; each answer had its own bound of 64 MB and all together had none. Change: at most 64 KB unparsed at all three readers (answers, callers' requests, waiting clients), 16 interim answers, and 32 MB in all answers of a target that are not whole; the largest is broken off.

--- a/libs/net/include/lavenderhoist/net/http_link.hpp
+++ b/libs/net/include/lavenderhoist/net/http_link.hpp
@@ -35,7 +35,11 @@
     http_link& operator=(const http_link&) = delete;
     ~http_link() override;
 
-    void start(lost_handler lost);
+    /** \brief Begins to read. \param grown is called whenever another growth_step bytes are held of
+     * an answer that is not whole yet; it may break the exchange off. */
+    void start(lost_handler lost, std::function<void()> grown = nullptr);
+
+    static constexpr std::size_t growth_step = 1U << 20U;
 
     /**
      * \brief Sends a request and reads its answer. Precondition: is_idle().
@@ -48,6 +52,12 @@
     /** \brief Closes the connection; the handler of the exchange is not called. */
     void give_up();
 
+    /** \brief Ends the exchange under way, if any, with `cause`, and closes the connection. */
+    void break_off(std::error_code cause);
+
+    /** \brief Bytes held of an answer that is not whole yet. */
+    std::size_t received() const noexcept;
+
     bool is_idle() const noexcept { return is_open() && !done_; }
 
     /** \brief When the last exchange ended. */
@@ -62,12 +72,15 @@
     void on_bytes(std::string_view bytes) override;
     void on_end(std::error_code failed) override;
     void parse();
+    void tell_growth();
     void finish_answer();
     void fail(std::error_code cause);
     void lose();
 
     std::size_t max_body_bytes_;
     lost_handler lost_;
+    std::function<void()> grown_;
+    std::size_t told_{0}; ///< Bytes held when `grown_` was called last.
     done_handler done_;
     echo expected_;
     std::string buffer_;
@@ -75,6 +88,7 @@
     time_point idle_since_;
     std::optional<duration> idle_limit_;
     int strays_{0};
+    int interim_answers_{0};
     bool is_head_{false};
 };
 
--- a/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
+++ b/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
@@ -9,10 +9,18 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace lavenderhoist::net::internal {
 
+/** Bytes that a parser has not taken yet: an incomplete head, chunk head or trailer. The parser of
+ * Beast 1.81 bounds the first of them only. */
+inline constexpr std::size_t max_unparsed_bytes = 64U << 10U;
+
+/** Interim answers (RFC 9110 section 15.2) before the final one; servers send one or two. */
+inline constexpr int max_interim_answers = 16;
+
 /**
  * \brief Hands bytes to a parser of one message, as far as it takes them.
  *
@@ -45,6 +53,7 @@
 
 /**
  * \brief Reads one whole message. Bytes after it stay in `buffer`.
+ *
  * \returns `end_of_stream` if the connection ends before its first byte.
  */
 template <bool is_request, typename Body>
@@ -61,6 +70,10 @@
         if (failed || parser.is_done()) {
             co_return failed;
         }
+        if (buffer.size() > max_unparsed_bytes) {
+            co_return boost::beast::http::make_error_code(
+                boost::beast::http::error::buffer_overflow);
+        }
         const auto room = buffer.prepare(read_bytes);
         const auto length = co_await socket.async_read_some(
             room, boost::asio::redirect_error(boost::asio::use_awaitable, failed));
@@ -78,4 +91,25 @@
     }
 }
 
+/**
+ * \brief Reads the final answer to a request; interim ones are skipped.
+ * \param parser holds the answer if there is no error.
+ */
+template <typename Body>
+boost::asio::awaitable<boost::system::error_code>
+read_answer(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer,
+            std::optional<boost::beast::http::response_parser<Body>>& parser,
+            std::size_t max_body_bytes) {
+    constexpr unsigned first_final_status = 200;
+    for (int interim = 0; interim <= max_interim_answers; ++interim) {
+        parser.emplace();
+        parser->body_limit(max_body_bytes);
+        const auto failed = co_await read_message(socket, buffer, *parser);
+        if (failed || parser->get().result_int() >= first_final_status) {
+            co_return failed;
+        }
+    }
+    co_return boost::beast::http::make_error_code(boost::beast::http::error::bad_status);
+}
+
 } // namespace lavenderhoist::net::internal
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -110,8 +110,7 @@
 
     boost::system::error_code failed;
     const auto outgoing = internal::to_beast(message, server_.address().to_string());
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(state->bounds.max_body_bytes);
+    std::optional<http::response_parser<http::string_body>> parser;
     {
         const deadline_guard guard(used->socket, deadline);
         if (!cancelled) {
@@ -134,7 +133,8 @@
                                        redirect_error(use_awaitable, failed));
         }
         if (!failed && !cancelled->is_cancelled()) {
-            failed = co_await internal::read_message(used->socket, used->buffer, parser);
+            failed = co_await internal::read_answer(used->socket, used->buffer, parser,
+                                                    state->bounds.max_body_bytes);
         }
         if (cancelled->is_cancelled()) {
             result.code = errc::cancelled;
@@ -148,8 +148,8 @@
         --state->open;
         co_return result;
     }
-    const bool reusable = parser.get().keep_alive() && used->buffer.size() == 0;
-    result.answer = internal::from_beast(parser.release());
+    const bool reusable = parser->get().keep_alive() && used->buffer.size() == 0;
+    result.answer = internal::from_beast(parser->release());
     if (reusable) {
         state->idle.push_back(std::move(used));
     } else {
--- a/libs/net/src/http_link.cpp
+++ b/libs/net/src/http_link.cpp
@@ -48,8 +48,9 @@
 
 http_link::~http_link() = default;
 
-void http_link::start(lost_handler lost) {
+void http_link::start(lost_handler lost, std::function<void()> grown) {
     lost_ = std::move(lost);
+    grown_ = std::move(grown);
     start_reading();
 }
 
@@ -57,10 +58,22 @@
     expected_ = expected;
     done_ = std::move(done);
     strays_ = 0;
+    interim_answers_ = 0;
+    told_ = 0;
     is_head_ = message.method == "HEAD";
     send(internal::serialize(internal::to_beast(message, message.host)));
 }
 
+std::size_t http_link::received() const noexcept {
+    return buffer_.size() + (reading_ ? reading_->parser.get().body().size() : 0);
+}
+
+void http_link::break_off(std::error_code cause) {
+    if (done_) {
+        fail(cause);
+    }
+}
+
 void http_link::give_up() {
     done_ = nullptr;
     lose();
@@ -99,17 +112,32 @@
             return;
         }
         if (!parser.is_done()) {
+            if (buffer_.size() > internal::max_unparsed_bytes) {
+                fail(errc::bad_answer);
+                return;
+            }
+            tell_growth();
             return;
         }
         finish_answer();
     }
 }
 
+void http_link::tell_growth() {
+    if (grown_ && received() >= told_ + growth_step) {
+        told_ = received();
+        grown_();
+    }
+}
+
 void http_link::finish_answer() {
     const auto whole = std::exchange(reading_, nullptr);
     const auto& parsed = whole->parser.get();
     constexpr unsigned first_final_status = 200;
     if (parsed.result_int() < first_final_status) {
+        if (++interim_answers_ > internal::max_interim_answers) {
+            fail(errc::bad_answer);
+        }
         return;
     }
     const bool keeps = parsed.keep_alive() && unsent() == 0;
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -96,6 +96,10 @@
         finish_request();
         return;
     }
+    if (buffer_.size() > internal::max_unparsed_bytes) {
+        reject(status_bad_request, "chunk head or trailer is too long");
+        return;
+    }
     const bool expects = parser.is_header_done() && !reading_->told_to_continue &&
                          parser.get()[http::field::expect] == "100-continue";
     if (expects) {
--- a/libs/net/test/http_session_test.cpp
+++ b/libs/net/test/http_session_test.cpp
@@ -171,4 +171,17 @@
     EXPECT_EQ(connection.seen().front().path, "/1");
 }
 
+TEST(http_session, rejects_a_chunk_head_or_a_trailer_without_end) {
+    const std::string head = "POST / HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string begin : {"5;", "0\r\n"}) {
+        served_connection here;
+        here.send(head + begin);
+        for (int i = 0; i < 64 && here.rejected() == 0; ++i) {
+            here.send(std::string(4'096, 'x'));
+        }
+        EXPECT_NE(here.rejected(), 0) << begin;
+        EXPECT_TRUE(here.seen().empty());
+    }
+}
+
 } // namespace lavenderhoist::net
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -108,6 +108,7 @@
     void refuse(ticket which, errc cause, duration retry_after);
     void refuse_waiting(errc cause);
     void forget_links();
+    void bound_received();
     void log_level();
     void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -1,5 +1,9 @@
 #include "lavenderhoist/relay/internal/target_job.hpp"
 
+#include "lavenderhoist/logging/log.hpp"
+
+#include <boost/json/object.hpp>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -21,6 +25,10 @@
  * lies below a second, since targets announce whole seconds. */
 constexpr duration unannounced_lifetime = std::chrono::milliseconds(500);
 constexpr std::size_t max_answer_bytes = 64U << 20U;
+
+/** Of all answers that are not whole yet: a fifth of the least memory of a node, 160 MB, since a
+ * string that grows holds up to three times its bytes for a moment. */
+constexpr std::size_t max_received_bytes = 32U << 20U;
 constexpr int status_misdirected = 421;
 constexpr int first_failure_status = 300;
 constexpr int status_success = 200;
@@ -88,10 +96,12 @@
         }
         const auto link = std::make_shared<net::http_link>(std::move(*socket), max_answer_bytes);
         links_.emplace(link.get(), link);
-        link->start([this](net::http_link& lost) {
-            std::erase_if(idle_, [&lost](const auto& each) { return each.get() == &lost; });
-            links_.erase(&lost);
-        });
+        link->start(
+            [this](net::http_link& lost) {
+                std::erase_if(idle_, [&lost](const auto& each) { return each.get() == &lost; });
+                links_.erase(&lost);
+            },
+            [this] { bound_received(); });
         send(job, link);
     });
 }
@@ -160,6 +170,25 @@
     return answer;
 }
 
+void target_port::bound_received() {
+    std::size_t total = 0;
+    for (const auto& [where, link] : links_) {
+        total += link->received();
+    }
+    while (total > max_received_bytes) {
+        const auto largest = std::ranges::max_element(links_, {}, [](const auto& each) {
+                                 return each.second->received();
+                             })->second;
+        const auto held = largest->received();
+        logging::log_line(logging::severity::warning, "answer broken off",
+                          {{"target", target_ ? target_->id : ""},
+                           {"bytes", held},
+                           {"bytes_of_all_answers", total}});
+        total -= held;
+        largest->break_off(errc::bad_answer);
+    }
+}
+
 void target_port::close_idle() {
     const auto now = runtime_clock::now();
     const auto is_old = [now](const link_ptr& link) {
--- a/tests/platform/fault_proxy.cpp
+++ b/tests/platform/fault_proxy.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <string>
 
 namespace lavenderhoist::platform_test {
 
@@ -88,6 +89,18 @@
     net::spawn(context_, pump(connection, false));
 }
 
+asio::awaitable<void> fault_proxy::send_without_end(pair_ptr connection) {
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const std::string body(buffer_bytes, 'x');
+    boost::system::error_code failed;
+    co_await asio::async_write(connection->client, asio::buffer(head),
+                               asio::redirect_error(asio::use_awaitable, failed));
+    while (!failed && mode_ == proxy_mode::endless) {
+        co_await asio::async_write(connection->client, asio::buffer(body),
+                                   asio::redirect_error(asio::use_awaitable, failed));
+    }
+}
+
 asio::awaitable<void> fault_proxy::pump(pair_ptr connection, bool towards_server) {
     auto& from = towards_server ? connection->client : connection->server;
     auto& to = towards_server ? connection->server : connection->client;
@@ -105,6 +118,10 @@
         if (is_dropped) {
             continue;
         }
+        if (mode_ == proxy_mode::endless && !towards_server) {
+            co_await send_without_end(connection);
+            break;
+        }
         if (mode_ == proxy_mode::delay) {
             co_await net::sleep_for(context_.get_executor(), delay_time);
         }
--- a/tests/platform/fault_proxy.hpp
+++ b/tests/platform/fault_proxy.hpp
@@ -19,6 +19,7 @@
     drop_answers,  ///< Bytes towards the server pass, those back are dropped.
     drop_requests, ///< The other way round.
     silent,        ///< No bytes pass; new connections are accepted.
+    endless,       ///< Instead of an answer, the head of one and a body that never ends.
 };
 
 /** \brief Passes TCP connections on to a server on loopback, with faults. Lives on one executor. */
@@ -40,6 +41,7 @@
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> connect(pair_ptr connection);
     boost::asio::awaitable<void> pump(pair_ptr connection, bool towards_server);
+    boost::asio::awaitable<void> send_without_end(pair_ptr connection);
 
     boost::asio::io_context& context_;
     net::tcp::acceptor acceptor_;
