HTTP/2: withdrawn calls don't end a connection, and an error of it proves no call unprocessed

Cause: nghttp2 ends a connection on which a peer resets more than 1,000 streams and then 33 a second (its defence against unknown peers). When a deep service refuses half of all, chains fail and their other calls are withdrawn, thousands a second. The frame that ends the connection is queued with the last stream received so far; streams that arrive before it is written are still handed over and run. The caller's node takes the frame as proof that they did not run and places them elsewhere. All other calls on the connection are lost.

Evidence: h2_goaway.withdrawn_calls_neither_end_the_connection_nor_prove_that_others_did_not_run: 100 of 100 handled calls said to be unprocessed, 100 lost.

Change: the bound on resets is a million, since peers are nodes of one deployment, which withdraw as many calls as they have open; an end by error proves nothing, so that its calls are answered as unknown. Tests: the one above and h2_goaway.an_error_of_the_connection_proves_nothing_of_its_calls failed before; h2_goaway.an_orderly_end_proves_that_later_calls_did_not_run holds what must stay.

--- a/libs/net/include/lavenderhoist/net/h2_client.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_client.hpp
@@ -53,7 +53,7 @@
 protected:
     void on_message(std::int32_t id, stream& finished) override;
     void on_stream_end(std::int32_t id, stream& ended, std::uint32_t error_code) override;
-    void on_goaway(std::int32_t last_stream_id) override;
+    void on_goaway(std::int32_t last_stream_id, std::uint32_t error_code) override;
     void on_closed() override;
 
 private:
@@ -61,6 +61,7 @@
 
     std::unordered_map<std::int32_t, done_handler> pending_;
     bool peer_is_leaving_{false};
+    bool has_failed_{false}; ///< The peer has ended the connection for an error.
 };
 
 } // namespace lavenderhoist::net
--- a/libs/net/include/lavenderhoist/net/h2_connection.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_connection.hpp
@@ -70,8 +70,9 @@
     /** \brief A stream has ended. \param error_code of HTTP/2; 0 if it ended in order. */
     virtual void on_stream_end(std::int32_t id, stream& ended, std::uint32_t error_code) = 0;
 
-    /** \brief The peer will take no new streams. */
-    virtual void on_goaway(std::int32_t /*last_stream_id*/) {}
+    /** \brief The peer will take no new streams. \param error_code of HTTP/2; 0 for an orderly end.
+     */
+    virtual void on_goaway(std::int32_t /*last_stream_id*/, std::uint32_t /*error_code*/) {}
 
     /** \brief The connection is gone; called once, after which no other function is. */
     virtual void on_closed() = 0;
--- a/libs/net/src/h2_callbacks.cpp
+++ b/libs/net/src/h2_callbacks.cpp
@@ -10,6 +10,12 @@
 constexpr std::uint32_t window_bytes = 4U << 20U;
 constexpr std::uint32_t max_header_list_bytes = 64U << 10U;
 
+/** Calls that a peer may withdraw at once, and a second. nghttp2's own bounds, 1,000 and 33, are
+ * meant for unknown peers; nodes withdraw as many as they have open, many times a second under
+ * overload. */
+constexpr std::uint64_t max_withdrawn_at_once = 1U << 20U;
+constexpr std::uint64_t max_withdrawn_per_second = 1U << 20U;
+
 h2_connection& connection_of(void* user_data) {
     return *static_cast<h2_connection*>(user_data);
 }
@@ -84,7 +90,7 @@
                            void* user_data) {
     auto& connection = connection_of(user_data);
     if (frame->hd.type == NGHTTP2_GOAWAY) {
-        connection.on_goaway(frame->goaway.last_stream_id);
+        connection.on_goaway(frame->goaway.last_stream_id, frame->goaway.error_code);
         return 0;
     }
     const bool carries_message =
@@ -137,12 +143,17 @@
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &h2_callbacks::on_data);
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &h2_callbacks::on_frame);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &h2_callbacks::on_close);
+    nghttp2_option* options = nullptr;
+    nghttp2_option_new(&options);
+    nghttp2_option_set_stream_reset_rate_limit(options, max_withdrawn_at_once,
+                                               max_withdrawn_per_second);
     nghttp2_session* made = nullptr;
     if (is_server) {
-        nghttp2_session_server_new(&made, callbacks, &owner);
+        nghttp2_session_server_new2(&made, callbacks, &owner, options);
     } else {
-        nghttp2_session_client_new(&made, callbacks, &owner);
+        nghttp2_session_client_new2(&made, callbacks, &owner, options);
     }
+    nghttp2_option_del(options);
     nghttp2_session_callbacks_del(callbacks);
     send_settings(made);
     return nghttp2_session_ptr(made);
--- a/libs/net/src/h2_client.cpp
+++ b/libs/net/src/h2_client.cpp
@@ -122,12 +122,18 @@
 void h2_client::on_stream_end(std::int32_t id, stream& /*ended*/, std::uint32_t error_code) {
     exchange_result result;
     result.code = errc::peer_lost;
-    result.never_processed = error_code == NGHTTP2_REFUSED_STREAM;
+    result.never_processed = error_code == NGHTTP2_REFUSED_STREAM && !has_failed_;
     finish(id, std::move(result));
 }
 
-void h2_client::on_goaway(std::int32_t last_stream_id) {
+void h2_client::on_goaway(std::int32_t last_stream_id, std::uint32_t error_code) {
     peer_is_leaving_ = true;
+    // After an error nghttp2 still hands over streams that come before the frame is written, so the
+    // last stream that the frame names proves nothing.
+    has_failed_ = has_failed_ || error_code != NGHTTP2_NO_ERROR;
+    if (has_failed_) {
+        return;
+    }
     std::vector<std::int32_t> unprocessed;
     for (const auto& [id, done] : pending_) {
         if (id > last_stream_id) {
