--- a/libs/net/src/h2_callbacks.cpp
+++ b/libs/net/src/h2_callbacks.cpp
@@ -10,11 +10,11 @@
 constexpr std::uint32_t window_bytes = 4U << 20U;
 constexpr std::uint32_t max_header_list_bytes = 64U << 10U;
 
-/** Calls that a peer may withdraw at once, and a second. nghttp2's own bounds, 1,000 and 33, are
- * meant for unknown peers; nodes withdraw as many as they have open, many times a second under
- * overload. */
-constexpr std::uint64_t max_withdrawn_at_once = 1U << 20U;
-constexpr std::uint64_t max_withdrawn_per_second = 1U << 20U;
+/** Streams that a peer may reset at once, and per second. The defaults of nghttp2, 1,000 and 33,
+ * are meant for untrusted peers; under overload a node resets all of its open streams several times
+ * a second. */
+constexpr std::uint64_t max_resets_at_once = 1U << 20U;
+constexpr std::uint64_t max_resets_per_second = 1U << 20U;
 
 h2_connection& connection_of(void* user_data) {
     return *static_cast<h2_connection*>(user_data);
@@ -145,8 +145,7 @@
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &h2_callbacks::on_close);
     nghttp2_option* options = nullptr;
     nghttp2_option_new(&options);
-    nghttp2_option_set_stream_reset_rate_limit(options, max_withdrawn_at_once,
-                                               max_withdrawn_per_second);
+    nghttp2_option_set_stream_reset_rate_limit(options, max_resets_at_once, max_resets_per_second);
     nghttp2_session* made = nullptr;
     if (is_server) {
         nghttp2_session_server_new2(&made, callbacks, &owner, options);
