--- a/libs/admission/test/guaranteed_share_test.cpp
+++ b/libs/admission/test/guaranteed_share_test.cpp
@@ -88,7 +88,7 @@
     int orders_let_in = 0;
     int reads_let_in = 0;
     constexpr int rounds = 10'000;
-    constexpr double reads = rounds / 10;
+    constexpr double reads = rounds * 0.1;
     for (int i = 0; i < rounds; ++i) {
         subject.on_request("orders");
         if (random() % 5 == 0) {
