Store eras: records that a restored store has lost are published again

Cause: offsets alone ordered host records. A store that comes back from an older copy gives its offsets out again: a read from an offset that had been passed skipped records, new records below the known offsets were ignored, and what a node had published after the copy (a departure among it) was lost for good. Change: positions are ordered by era, then offset. A follower lists its topic again when any answer shows another era, also from a pending long poll. A node whose own record is older, or missing, in the restored store publishes it again; a restored record does not revert a known departure or a newer start. A read from an offset that the store does not have is answered by a list, as for expired records. Nodes of earlier versions send no era: read as 0.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -57,8 +57,9 @@
     void on_configuration(const store_record& record);
     void on_host(const store_record& record);
     void apply_configuration(const std::string& text, std::string_view source);
-    void apply_host_record(const mesh::host_record& record, std::int64_t offset);
+    void apply_host_record(const mesh::host_record& record, mesh::record_position position);
     void restore_local_record();
+    void check_local_record_is_stored();
     void publish_view();
     void update_shared_state();
     void apply_target();
@@ -68,7 +69,7 @@
     boost::asio::awaitable<void> peer_loop();
     boost::asio::awaitable<void> fetch_shared_state(net::tcp::endpoint peer);
     boost::asio::awaitable<void> compare_versions(net::tcp::endpoint peer);
-    std::int64_t max_host_offset() const;
+    mesh::record_position max_host_position() const;
     std::vector<net::tcp::endpoint> peer_endpoints() const;
     void apply_shared_state(const std::string& text);
     topic_follower::events make_events(topic which);
@@ -88,8 +89,8 @@
     mesh::directory directory_;
     mesh::target_lifecycle target_;
     time_point last_comparison_at_;
-    internal::lag_detector configuration_lag_;
-    internal::lag_detector hosts_lag_;
+    internal::lag_detector<std::uint64_t> configuration_lag_;
+    internal::lag_detector<mesh::record_position> hosts_lag_;
     mesh::routing_table_ptr table_;
     std::string configuration_text_;
     std::shared_ptr<const std::vector<mesh::host_record>> listed_hosts_; ///< For the next view.
--- a/libs/agent/include/lavenderhoist/agent/internal/lag_detector.hpp
+++ b/libs/agent/include/lavenderhoist/agent/internal/lag_detector.hpp
@@ -2,7 +2,6 @@
 
 #include "lavenderhoist/core/clock.hpp"
 
-#include <cstdint>
 #include <optional>
 
 namespace lavenderhoist::agent::internal {
@@ -12,7 +11,10 @@
  * opposed to a lag that is still being caught up.
  *
  * Successive comparisons may be with different peers.
+ *
+ * \tparam Version an ordered type.
  */
+template <typename Version>
 class lag_detector {
 public:
     /**
@@ -20,11 +22,21 @@
      * \param max_lag how long the local version may stay unchanged while a peer's is newer.
      * \returns true if it has stayed unchanged for longer.
      */
-    bool on_comparison(std::int64_t local_version, std::int64_t peer_version, duration max_lag,
-                       time_point now);
+    bool on_comparison(const Version& local_version, const Version& peer_version, duration max_lag,
+                       time_point now) {
+        if (peer_version <= local_version) {
+            behind_since_.reset();
+            return false;
+        }
+        if (!behind_since_ || local_version != local_version_) {
+            local_version_ = local_version;
+            behind_since_ = now;
+        }
+        return now - *behind_since_ > max_lag;
+    }
 
 private:
-    std::int64_t local_version_{0};          ///< At the last comparison that found it behind.
+    Version local_version_{};                ///< At the last comparison that found it behind.
     std::optional<time_point> behind_since_; ///< Since when `local_version_` is behind.
 };
 
--- a/libs/agent/include/lavenderhoist/agent/shared_state.hpp
+++ b/libs/agent/include/lavenderhoist/agent/shared_state.hpp
@@ -19,7 +19,7 @@
 /** \brief How recent a node's control state is. */
 struct shared_versions {
     std::uint64_t configuration{0};
-    std::int64_t max_host_offset{-1}; ///< Highest offset of its host records; -1 without one.
+    mesh::record_position max_host_position; ///< Highest position of its host records.
 };
 
 std::string encode(const shared_versions& versions);
--- a/libs/agent/include/lavenderhoist/agent/store_client.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_client.hpp
@@ -19,8 +19,10 @@
     /** \brief Lists the newest record of each key of a topic, over all pages. */
     boost::asio::awaitable<read_result> list_newest(topic which);
 
-    /** \brief Reads the records from an offset on; a long poll if there are none yet. */
-    boost::asio::awaitable<read_result> read(topic which, std::int64_t offset);
+    /** \brief Reads the records from an offset on; a long poll if there are none yet, which
+     * `cancelled` ends. */
+    boost::asio::awaitable<read_result> read(topic which, std::int64_t offset,
+                                             net::cancellation_ptr cancelled);
 
     /** \brief Appends a record. After a store_failure the record may have been written or not; the
      * caller resolves that by appending or reading again. */
@@ -30,8 +32,8 @@
     std::uint64_t calls() const noexcept { return calls_; }
 
 private:
-    boost::asio::awaitable<net::exchange_result> exchange(const net::request& message,
-                                                          duration timeout);
+    boost::asio::awaitable<net::exchange_result>
+    exchange(const net::request& message, duration timeout, net::cancellation_ptr cancelled);
 
     const store_codec& codec_;
     net::http_client http_;
--- a/libs/agent/include/lavenderhoist/agent/store_codec.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_codec.hpp
@@ -20,6 +20,7 @@
     /** \brief Lists the newest record of each key, one page. \param after last key of the previous
      * page; empty for the first page. */
     virtual net::request list_newest(topic which, std::string_view after) const = 0;
+    /** \returns a batch in which the records of all pages have the era of their page. */
     virtual read_result parse_newest(const net::exchange_result& answer) const = 0;
 
     /** \brief Reads from an offset on; the store waits up to `wait` for a first record. */
--- a/libs/agent/include/lavenderhoist/agent/store_types.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_types.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/mesh/record_position.hpp"
+
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -17,23 +19,24 @@
 struct store_record {
     std::string key;
     std::string value; ///< Empty: a tombstone, the key has been removed.
-    std::int64_t offset{0};
+    mesh::record_position position;
 };
 
 /** \brief Records, and the offset at which the next read begins. */
 struct record_batch {
     std::vector<store_record> records;
+    std::int64_t era{0}; ///< Rises each time the store is restored from a copy.
     std::int64_t next_offset{0};
     bool has_more{false}; ///< Only of list_newest: more pages follow after the last key.
 };
 
-/** \brief The records at the requested offset have expired; the newest ones must be listed instead.
- */
+/** \brief The records at the requested offset have expired, or the store has been restored from an
+ * older copy; the newest records must be listed instead. */
 struct records_expired {};
 
 /** \brief The store has confirmed an append. */
 struct record_appended {
-    std::int64_t offset{0};
+    mesh::record_position position;
 };
 
 /** \brief A store call without a usable response. */
--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -2,6 +2,8 @@
 
 #include "lavenderhoist/agent/store_client.hpp"
 
+#include "lavenderhoist/net/cancellation.hpp"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
@@ -23,6 +25,8 @@
         std::function<void()> on_caught_up; ///< `on_record` has been called for all known records.
         std::function<void(const std::string& reason)> on_store_lost;
         std::function<void()> on_store_regained;
+        /** The store was restored from a copy, and the topic has been listed again. */
+        std::function<void(std::int64_t era)> on_store_restored;
     };
 
     /** \param batch_delay pause between a read that returned records and the next one: changes come
@@ -38,6 +42,13 @@
 
     duration batch_delay() const noexcept { return batch_delay_; }
 
+    /** \brief Another call has shown the store's era: if it is later than that of the records, the
+     * pending read is cancelled and the topic is listed again. */
+    void on_era(std::int64_t era);
+
+    /** \brief The era of the records read last. */
+    std::int64_t era() const noexcept { return era_; }
+
     /** \brief True if the last call of the store failed. */
     bool is_store_lost() const noexcept { return store_lost_; }
 
@@ -53,8 +64,11 @@
     duration batch_delay_;
     events handlers_;
     std::mt19937_64 random_;
+    net::cancellation_ptr pending_read_;
+    std::int64_t era_{0};
     std::int64_t next_offset_{0};
-    bool listed_{false};
+    bool listed_{false};     ///< Reads go on from `next_offset_`.
+    bool has_listed_{false}; ///< `era_` is known.
     bool store_lost_{false};
     int failures_{0};
 };
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -42,7 +42,7 @@
     for (const auto& [id, placed] : directory_.hosts()) {
         state.hosts.push_back(placed);
     }
-    const shared_versions versions{table_ ? table_->version() : 0, max_host_offset()};
+    const shared_versions versions{table_ ? table_->version() : 0, max_host_position()};
     data_.set_shared_state({std::make_shared<const std::string>(encode(state)), encode(versions)});
 }
 
@@ -52,7 +52,7 @@
         return;
     }
     for (const auto& entry : state->hosts) {
-        apply_host_record(entry.record, entry.offset);
+        apply_host_record(entry.record, entry.position);
     }
     if (published_record_) {
         restore_local_record();
@@ -106,12 +106,12 @@
     }
 }
 
-std::int64_t control_worker::max_host_offset() const {
-    std::int64_t max_offset = -1;
+mesh::record_position control_worker::max_host_position() const {
+    mesh::record_position max_position;
     for (const auto& [id, placed] : directory_.hosts()) {
-        max_offset = std::max(max_offset, placed.offset);
+        max_position = std::max(max_position, placed.position);
     }
-    return max_offset;
+    return max_position;
 }
 
 asio::awaitable<void> control_worker::compare_versions(net::tcp::endpoint peer) {
@@ -125,19 +125,20 @@
         co_return; // the peer is down or starting; the next comparison picks a peer anew
     }
     const auto now = runtime_clock::now();
-    const auto local_host_offset = max_host_offset();
+    const auto local_position = max_host_position();
+    const auto& peer_position = peer_versions->max_host_position;
     const bool has_stale_configuration = configuration_lag_.on_comparison(
-        static_cast<std::int64_t>(table_->version()),
-        static_cast<std::int64_t>(peer_versions->configuration), max_answer_skew, now);
-    const bool has_stale_hosts =
-        hosts_lag_.on_comparison(local_host_offset, peer_versions->max_host_offset,
-                                 hosts_follower_.batch_delay() + max_answer_skew, now);
+        table_->version(), peer_versions->configuration, max_answer_skew, now);
+    const bool has_stale_hosts = hosts_lag_.on_comparison(
+        local_position, peer_position, hosts_follower_.batch_delay() + max_answer_skew, now);
     if (has_stale_configuration || has_stale_hosts) {
         log_line(severity::warning, "behind another node",
                  {{"configuration", table_->version()},
                   {"their_configuration", peer_versions->configuration},
-                  {"newest_host", local_host_offset},
-                  {"their_newest_host", peer_versions->max_host_offset}});
+                  {"era", local_position.era},
+                  {"their_era", peer_position.era},
+                  {"newest_host", local_position.offset},
+                  {"their_newest_host", peer_position.offset}});
         co_await fetch_shared_state(peer);
     }
 }
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -121,6 +121,7 @@
         if (which == topic::hosts) {
             has_read_hosts_ = true;
             restore_local_record();
+            check_local_record_is_stored();
         }
         publish_view();
     };
@@ -130,6 +131,11 @@
     events.on_store_regained = [name] {
         log_line(severity::info, "store regained", {{"topic", name}});
     };
+    events.on_store_restored = [this, name](std::int64_t era) {
+        log_line(severity::warning, "store restored from a copy", {{"topic", name}, {"era", era}});
+        configuration_follower_.on_era(era);
+        hosts_follower_.on_era(era);
+    };
     return events;
 }
 
@@ -183,16 +189,19 @@
                   {"reason", !decoded ? "malformed record" : "id differs from key"}});
         return;
     }
-    apply_host_record(*decoded, record.offset);
+    apply_host_record(*decoded, record.position);
 }
 
-void control_worker::apply_host_record(const mesh::host_record& record, std::int64_t offset) {
-    if (!directory_.apply(record, offset)) {
-        return;
-    }
-    if (record.id == settings_.id) {
+void control_worker::apply_host_record(const mesh::host_record& record,
+                                       mesh::record_position position) {
+    const auto* const known = directory_.find(record.id);
+    if (record.id == settings_.id && (known == nullptr || known->position < position)) {
         published_record_ = record;
-        publish_wakeup_.cancel(); // a write of unknown outcome may have overwritten a newer record
+        publish_wakeup_.cancel(); // a write of unknown outcome may have overwritten a newer record,
+                                  // or the store has been restored from a copy without it
+    }
+    if (!directory_.apply(record, position)) {
+        return;
     }
     std::vector<mesh::host_record> listed;
     for (const auto& [id, placed] : directory_.hosts()) {
@@ -202,6 +211,14 @@
     listed_hosts_ = std::make_shared<const std::vector<mesh::host_record>>(std::move(listed));
 }
 
+void control_worker::check_local_record_is_stored() {
+    const auto* const known = directory_.find(settings_.id);
+    if (published_record_ && known != nullptr && known->position.era < hosts_follower_.era()) {
+        published_record_.reset(); // the copy from which the store was restored lacks it
+        publish_wakeup_.cancel();
+    }
+}
+
 void control_worker::restore_local_record() {
     if (std::exchange(restored_, true)) {
         return;
@@ -333,11 +350,12 @@
             co_await publish_wakeup_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        const store_record record{settings_.id, encode(current), 0};
+        const store_record record{settings_.id, encode(current), {}};
         const auto result = co_await store_.append(topic::hosts, record);
         if (const auto* const done = std::get_if<record_appended>(&result)) {
             backoff = min_publish_backoff;
-            apply_host_record(current, done->offset);
+            hosts_follower_.on_era(done->position.era);
+            apply_host_record(current, done->position);
             stored_wakeup_.cancel();
             publish_view();
             continue;
--- a/libs/agent/src/shared_state.cpp
+++ b/libs/agent/src/shared_state.cpp
@@ -6,17 +6,29 @@
 
 namespace json = boost::json;
 
+namespace {
+
+/** Nodes of earlier versions send no era. */
+std::int64_t era_of(const json::object& from) {
+    const auto* const era = from.if_contains("era");
+    return era == nullptr ? 0 : era->to_number<std::int64_t>();
+}
+
+} // namespace
+
 std::string encode(const shared_versions& versions) {
     return json::serialize(json::object{{"configuration", versions.configuration},
-                                        {"newest_host", versions.max_host_offset}});
+                                        {"era", versions.max_host_position.era},
+                                        {"newest_host", versions.max_host_position.offset}});
 }
 
 std::optional<shared_versions> decode_versions(std::string_view text) {
     try {
         const auto parsed = json::parse(text);
         const auto& object = parsed.as_object();
-        return shared_versions{object.at("configuration").to_number<std::uint64_t>(),
-                               object.at("newest_host").to_number<std::int64_t>()};
+        return shared_versions{
+            object.at("configuration").to_number<std::uint64_t>(),
+            {era_of(object), object.at("newest_host").to_number<std::int64_t>()}};
     } catch (const std::exception&) {
         return std::nullopt;
     }
@@ -25,7 +37,9 @@
 std::string encode(const shared_state& state) {
     json::array hosts;
     for (const auto& each : state.hosts) {
-        hosts.push_back({{"offset", each.offset}, {"record", mesh::encode(each.record)}});
+        hosts.push_back({{"era", each.position.era},
+                         {"offset", each.position.offset},
+                         {"record", mesh::encode(each.record)}});
     }
     return json::serialize(
         json::object{{"configuration", state.configuration}, {"hosts", std::move(hosts)}});
@@ -38,9 +52,10 @@
         shared_state state;
         state.configuration = object.at("configuration").as_string();
         for (const auto& each : object.at("hosts").as_array()) {
-            const auto record = mesh::decode_host_record(each.as_object().at("record").as_string());
+            const auto& host = each.as_object();
+            const auto record = mesh::decode_host_record(host.at("record").as_string());
             if (record) {
-                state.hosts.push_back({*record, each.as_object().at("offset").as_int64()});
+                state.hosts.push_back({*record, {era_of(host), host.at("offset").as_int64()}});
             }
         }
         return state;
--- a/libs/agent/src/store_client.cpp
+++ b/libs/agent/src/store_client.cpp
@@ -28,9 +28,11 @@
     : codec_(codec), http_(std::move(executor), store, {max_connections, max_answer_bytes}) {}
 
 asio::awaitable<net::exchange_result> store_client::exchange(const net::request& message,
-                                                             duration timeout) {
+                                                             duration timeout,
+                                                             net::cancellation_ptr cancelled) {
     ++calls_;
-    co_return co_await http_.exchange(message, runtime_clock::now() + timeout, nullptr);
+    co_return co_await http_.exchange(message, runtime_clock::now() + timeout,
+                                      std::move(cancelled));
 }
 
 asio::awaitable<read_result> store_client::list_newest(topic which) {
@@ -38,7 +40,8 @@
     std::string after;
     bool is_first = true;
     while (true) {
-        const auto answer = co_await exchange(codec_.list_newest(which, after), call_timeout);
+        const auto answer =
+            co_await exchange(codec_.list_newest(which, after), call_timeout, nullptr);
         auto page = codec_.parse_newest(answer);
         auto* const batch = std::get_if<record_batch>(&page);
         if (batch == nullptr) {
@@ -47,7 +50,10 @@
         // Pages are not a snapshot: reading on from the first page's end offset covers records that
         // are appended while further pages are listed.
         if (std::exchange(is_first, false)) {
+            all.era = batch->era;
             all.next_offset = batch->next_offset;
+        } else if (batch->era != all.era) {
+            co_return store_failure{"restored from a copy while it was listed", false};
         }
         const bool has_more = batch->has_more && !batch->records.empty();
         if (has_more) {
@@ -61,14 +67,15 @@
     }
 }
 
-asio::awaitable<read_result> store_client::read(topic which, std::int64_t offset) {
-    const auto answer =
-        co_await exchange(codec_.read(which, offset, read_wait), read_wait + call_timeout);
+asio::awaitable<read_result> store_client::read(topic which, std::int64_t offset,
+                                                net::cancellation_ptr cancelled) {
+    const auto answer = co_await exchange(codec_.read(which, offset, read_wait),
+                                          read_wait + call_timeout, std::move(cancelled));
     co_return codec_.parse_read(answer, offset);
 }
 
 asio::awaitable<append_result> store_client::append(topic which, const store_record& record) {
-    const auto answer = co_await exchange(codec_.append(which, record), call_timeout);
+    const auto answer = co_await exchange(codec_.append(which, record), call_timeout, nullptr);
     co_return codec_.parse_append(answer);
 }
 
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -48,6 +48,11 @@
         co_return;
     }
     on_answer();
+    if (batch->era > era_ && has_listed_) {
+        handlers_.on_store_restored(batch->era);
+    }
+    has_listed_ = true;
+    era_ = batch->era;
     next_offset_ = batch->next_offset;
     listed_ = true;
     for (const auto& record : batch->records) {
@@ -57,7 +62,11 @@
 }
 
 asio::awaitable<void> topic_follower::follow() {
-    const auto result = co_await store_.read(which_, next_offset_);
+    pending_read_ = std::make_shared<net::cancellation>();
+    const auto result = co_await store_.read(which_, next_offset_, pending_read_);
+    if (pending_read_->is_cancelled()) {
+        co_return;
+    }
     if (std::holds_alternative<records_expired>(result)) {
         on_answer();
         listed_ = false;
@@ -69,6 +78,11 @@
         co_return;
     }
     on_answer();
+    if (batch->era != era_) {
+        // Offsets of an earlier era say nothing about this one: records may have been skipped.
+        listed_ = false;
+        co_return;
+    }
     next_offset_ = batch->next_offset;
     for (const auto& record : batch->records) {
         handlers_.on_record(record);
@@ -79,6 +93,16 @@
     }
 }
 
+void topic_follower::on_era(std::int64_t era) {
+    if (!has_listed_ || era <= era_) {
+        return;
+    }
+    listed_ = false;
+    if (pending_read_) {
+        pending_read_->cancel();
+    }
+}
+
 void topic_follower::on_answer() {
     failures_ = 0;
     if (std::exchange(store_lost_, false)) {
--- a/libs/agent/test/topic_follower_test.cpp
+++ b/libs/agent/test/topic_follower_test.cpp
@@ -55,7 +55,7 @@
             return store_failure{"status " + std::to_string(answer.answer.status), false};
         }
         record_batch batch;
-        batch.records.push_back({"key", answer.answer.body, 1});
+        batch.records.push_back({"key", answer.answer.body, {0, 1}});
         batch.next_offset = 2;
         return batch;
     }
--- a/libs/mesh/include/lavenderhoist/mesh.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh.hpp
@@ -7,6 +7,7 @@
 #include "lavenderhoist/mesh/directory.hpp"
 #include "lavenderhoist/mesh/host_record.hpp"
 #include "lavenderhoist/mesh/placement.hpp"
+#include "lavenderhoist/mesh/record_position.hpp"
 #include "lavenderhoist/mesh/route.hpp"
 #include "lavenderhoist/mesh/routing_table.hpp"
 #include "lavenderhoist/mesh/service_rules.hpp"
--- a/libs/mesh/include/lavenderhoist/mesh/directory.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/mesh/host_record.hpp"
+#include "lavenderhoist/mesh/record_position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -10,22 +11,24 @@
 
 namespace lavenderhoist::mesh {
 
-/** \brief A host record with its offset in the store. */
+/** \brief A host record with its position in the store. */
 struct stored_host_record {
     host_record record;
-    std::int64_t offset{0};
+    record_position position;
 };
 
 /**
  * \brief The newest known record of every host.
  *
  * Records arrive from the store and, while the store is unavailable, from other nodes, so late and
- * duplicate ones are normal: the record with the highest offset of a host is kept.
+ * duplicate ones are normal: the record with the highest position of a host is kept. A restored
+ * store may return records that are older than the known ones: a departure of a target, or a newer
+ * start, is kept until the host publishes its record again.
  */
 class directory {
 public:
     /** \brief Stores a record. \returns true if it is newer than the known record of its host. */
-    bool apply(const host_record& record, std::int64_t offset);
+    bool apply(const host_record& record, record_position position);
 
     const stored_host_record* find(const std::string& host) const;
 
--- a/libs/mesh/src/directory.cpp
+++ b/libs/mesh/src/directory.cpp
@@ -2,12 +2,33 @@
 
 namespace lavenderhoist::mesh {
 
-bool directory::apply(const host_record& record, std::int64_t offset) {
-    auto& known = hosts_[record.id];
-    if (!known.record.id.empty() && known.offset >= offset) {
+namespace {
+
+/** True if the target of a record has departed, or is a newer start, as compared to another record
+ * of the same host. */
+bool is_ahead_of(const host_record& record, const host_record& other) {
+    if (record.target_started_at_ms != other.target_started_at_ms) {
+        return record.target_started_at_ms > other.target_started_at_ms;
+    }
+    return record.target_id == other.target_id && record.state > other.state;
+}
+
+} // namespace
+
+bool directory::apply(const host_record& record, record_position position) {
+    const auto [found, is_new] = hosts_.try_emplace(record.id, record, position);
+    auto& known = found->second;
+    if (is_new) {
+        return true;
+    }
+    if (known.position >= position) {
+        return false;
+    }
+    if (known.position.era != position.era && is_ahead_of(known.record, record)) {
+        known.position = position;
         return false;
     }
-    known = {record, offset};
+    known = {record, position};
     return true;
 }
 
--- a/tests/platform/control_test.cpp
+++ b/tests/platform/control_test.cpp
@@ -115,6 +115,87 @@
     }));
 }
 
+/** Restores the store from its copy, with the store unavailable for a moment before. */
+void restore_store(world& deployment) {
+    deployment.run_on_stub_thread([&] { deployment.store().injected_faults().status = 503; });
+    std::this_thread::sleep_for(milliseconds(300));
+    deployment.run_on_stub_thread([&] {
+        deployment.store().restore_copy();
+        deployment.store().injected_faults().status = 0;
+    });
+}
+
+bool store_has(world& deployment, const host& which, const std::string& text) {
+    return deployment.run_on_stub_thread([&] {
+        return deployment.store().newest_host_record(which.id).find(text) != std::string::npos;
+    });
+}
+
+TEST(platform_control, a_leave_that_a_restored_store_has_lost_is_published_again) {
+    world deployment;
+    deployment.add_host("back");
+    deployment.add_host("back");
+    deployment.publish({{"/back/", "back"}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    deployment.run_on_stub_thread([&] {
+        deployment.store().take_copy();
+        deployment.at(0).target->leave();
+    });
+    EXPECT_EQ(deployment.await([&] { return deployment.at(0).target->send_heartbeat(); }), 200);
+    ASSERT_TRUE(store_has(deployment, deployment.at(0), "leaving"));
+    restore_store(deployment);
+    EXPECT_TRUE(wait_until([&] { return store_has(deployment, deployment.at(0), "leaving"); },
+                           std::chrono::seconds(3)));
+}
+
+TEST(platform_control, a_host_that_a_restored_store_has_lost_is_published_again) {
+    world deployment;
+    deployment.add_host("back");
+    deployment.run_on_stub_thread([&] { deployment.store().take_copy(); });
+    deployment.add_host("late");
+    deployment.publish({{"/back/", "back"}, {"/late/", "late"}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    restore_store(deployment);
+    EXPECT_TRUE(wait_until([&] { return store_has(deployment, deployment.at(1), "ready"); },
+                           std::chrono::seconds(3)));
+}
+
+TEST(platform_control, records_at_offsets_that_are_given_out_again_reach_every_node) {
+    world deployment;
+    deployment.add_host("back");
+    deployment.add_host("back");
+    deployment.publish({{"/back/", "back"}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    deployment.run_on_stub_thread([&] { deployment.store().take_copy(); });
+    // The lost records give the nodes higher offsets than those of the records after the restore.
+    deployment.at(0).node->kill();
+    deployment.start_node(deployment.at(0));
+    ASSERT_TRUE(wait_until([&] { return deployment.ready_status(deployment.at(0)) == 200; }));
+    deployment.publish({{"/back/", "back"}, {"/later/", "back"}});
+    restore_store(deployment);
+    deployment.run_on_stub_thread([&] { deployment.at(0).target->leave(); });
+    EXPECT_EQ(deployment.await([&] { return deployment.at(0).target->send_heartbeat(); }), 200);
+    deployment.publish({{"/back/", "back"}, {"/last/", "back"}});
+    for (std::size_t i = 0; i < deployment.size(); ++i) {
+        EXPECT_TRUE(wait_until(
+            [&] {
+                return deployment
+                           .send_request(deployment.at(i), "GET", "/last/x", deployment.make_id())
+                           .answer.status == 200;
+            },
+            std::chrono::seconds(2)))
+            << "node " << i;
+    }
+    const auto before =
+        deployment.run_on_stub_thread([&] { return deployment.at(0).target->executions().size(); });
+    for (int i = 0; i < 20; ++i) {
+        deployment.send_request(deployment.at(1), "GET", "/back/x", deployment.make_id());
+    }
+    EXPECT_EQ(
+        deployment.run_on_stub_thread([&] { return deployment.at(0).target->executions().size(); }),
+        before);
+}
+
 TEST(platform_control, a_lost_answer_to_a_wait_is_made_up_for_by_another_node) {
     world deployment;
     deployment.add_host("back");
