Levels of a service by weighted median, queues compared by time

Of 30 targets in the middle of the chain one had always just made no call, reported an open level, and as the lowest of all it hid the others (statusvakt nodes saw 2 to 670; the deepest service was at 750 to 770). Equal queues at targets of unequal speed made requests wait 650 ms at the slow ones and 200 ms at the fast ones. Change: the level passed upstream is the median by capacity; load reports carry the service time, and queued requests count in proportion to it. Conclusion: right, but not enough alone: entries do not know the levels of most targets.

--- a/libs/mesh/include/lavenderhoist/mesh/placement.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/placement.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <vector>
 
 namespace lavenderhoist::mesh {
 
@@ -15,8 +16,9 @@
 /** \brief A target that a request could be sent to. */
 struct candidate {
     distance distance_to_target{distance::remote_data_centre};
-    double load{0}; ///< Requests in flight and queued, divided by the concurrency limit.
-    int level{0};   ///< Admission level: requests of lower importance are refused.
+    double load{0};           ///< Requests in flight and queued, divided by the concurrency limit.
+    int level{0};             ///< Admission level: requests of lower importance are refused.
+    duration service_time{0}; ///< Mean service time; 0 if not known.
 };
 
 /**
@@ -26,6 +28,9 @@
  * local host or in the local data centre, chooses the least loaded target of all, provided that its
  * load is lower by more than `min_load_advantage`: traffic between data centres is expensive, but
  * queueing or refusing a request costs more.
+ *
+ * Queues are compared by the time that they take: queued requests count in proportion to the
+ * target's service time, so that equal queues at targets of unequal speed are unequal loads.
  */
 class placement {
 public:
@@ -41,10 +46,12 @@
     std::optional<std::size_t> choose(std::span<const candidate> candidates, int importance);
 
 private:
+    void compute_loads(std::span<const candidate> candidates);
     std::optional<std::size_t> least_loaded(std::span<const candidate> candidates, int importance,
                                             distance farthest);
 
     std::mt19937_64 random_;
+    std::vector<double> loads_; ///< Of the candidates, with queues weighted by service time.
 };
 
 } // namespace lavenderhoist::mesh
--- a/libs/mesh/test/placement_test.cpp
+++ b/libs/mesh/test/placement_test.cpp
@@ -32,6 +32,29 @@
         0U);
 }
 
+// Load pattern: all targets of a service have equal queues, and some are three times as slow, so
+// that requests wait three times as long there and expire.
+TEST(placement, of_two_equal_queues_the_faster_one_is_shorter) {
+    constexpr milliseconds fast{30};
+    constexpr milliseconds slow{90};
+    EXPECT_EQ(choose({{distance::remote_data_centre, 2.8, 0, fast},
+                      {distance::local_data_centre, 2.8, 0, slow}}),
+              0U);
+    EXPECT_EQ(choose({{distance::local_data_centre, 2.8, 0, slow},
+                      {distance::local_data_centre, 3.5, 0, fast}}),
+              1U);
+    // Below its limit, a target serves a request at once whatever its speed.
+    EXPECT_EQ(choose({{distance::local_data_centre, 0.9, 0, slow},
+                      {distance::local_data_centre, 0.95, 0, fast}}),
+              0U);
+}
+
+TEST(placement, unknown_service_times_leave_queues_as_they_are) {
+    EXPECT_EQ(choose({{distance::local_data_centre, 1.5, 0, milliseconds(0)},
+                      {distance::local_data_centre, 1.6, 0, milliseconds(0)}}),
+              0U);
+}
+
 TEST(placement, skips_targets_that_refuse_the_importance) {
     EXPECT_EQ(choose({{distance::remote_data_centre, 0.9, 0}, {distance::local_host, 0.0, 5}}), 0U);
     EXPECT_EQ(choose({{distance::local_host, 0.0, 5}}), std::nullopt);
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -92,8 +92,8 @@
     void rebuild_targets();
     mesh::distance distance_to(const mesh::host_record& record) const;
     pending_ptr accept(const std::shared_ptr<net::http_session>& session, net::request message);
-    admission::priority min_level(const std::string& route, const std::string& service,
-                                  time_point now) const;
+    admission::priority service_level(const std::string& route, const std::string& service,
+                                      time_point now) const;
     void record_call(const std::string& parent_route, const pending& call);
     void request_levels(const std::string& route, known_service& service, time_point now);
     std::string_view parent_of(std::string_view id) const;
--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -48,6 +48,9 @@
      * `routing::decaying_level::lifetime`. */
     std::optional<admission::priority> known_level(const std::string& route, time_point now) const;
 
+    /** \brief Requests per second that the target can serve, as last reported. */
+    double capacity() const noexcept;
+
     /** \brief True if the level for a route is above open and was reported longer ago than `age`.
      */
     bool has_stale_level(const std::string& route, duration age, time_point now) const;
@@ -78,13 +81,16 @@
 };
 
 /**
- * \brief The lowest admission level for requests of a route among the ready targets of a service;
- * ejected targets count only if no other level is known.
+ * \brief The admission level for nested calls of a route to a service: the lowest one that is at or
+ * above the levels of half of the capacity of the ready targets. Ejected targets count only if no
+ * other level is known.
  *
  * Targets without a recent report don't count: nested calls keep to the nearest targets, and those
- * that receive no calls would look open for ever. Open if no target has a recent report.
+ * that receive no calls would look open for ever. Open if no target has a recent report. The lowest
+ * of all levels would not do: of the many targets of a large service, one is always open for a
+ * moment.
  */
-admission::priority min_known_level(std::span<const std::shared_ptr<known_target>> targets,
-                                    const std::string& route, time_point now);
+admission::priority median_level(std::span<const std::shared_ptr<known_target>> targets,
+                                 const std::string& route, time_point now);
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/include/lavenderhoist/relay/load_report.hpp
+++ b/libs/relay/include/lavenderhoist/relay/load_report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/admission/priority.hpp"
+#include "lavenderhoist/core/clock.hpp"
 
 namespace lavenderhoist::relay {
 
@@ -9,6 +10,7 @@
     int limit{0}; ///< Concurrency limit: requests sent to the target at once, at most.
     int busy{0};  ///< Requests running and queued.
     admission::priority level{admission::open_level}; ///< Requests of lower importance are refused.
+    duration service_time{0}; ///< Mean time of a request in its slot; 0 if not known.
 };
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -152,7 +152,7 @@
     };
     const auto now = runtime_clock::now();
     details["left_ms"] = in_ms(request.request.deadline - now);
-    details["level"] = min_level(request.route->name, request.request.service, now);
+    details["level"] = service_level(request.route->name, request.request.service, now);
     if (!request.tried.empty()) {
         const auto& last = *request.tried.back();
         details["target"] = last.record().id;
--- a/libs/relay/src/entry_levels.cpp
+++ b/libs/relay/src/entry_levels.cpp
@@ -17,13 +17,13 @@
 
 } // namespace
 
-admission::priority entry::min_level(const std::string& route, const std::string& service,
-                                     time_point now) const {
+admission::priority entry::service_level(const std::string& route, const std::string& service,
+                                         time_point now) const {
     const auto found = services_.find(service);
     if (found == services_.end()) {
         return admission::open_level;
     }
-    return min_known_level(found->second.targets, route, now);
+    return median_level(found->second.targets, route, now);
 }
 
 std::optional<admission::priority> entry::callee_level(const std::string& route) const {
@@ -36,7 +36,7 @@
     for (const auto& callee : found->second) {
         if (now - callee.last_call < route_retention) {
             max_level = std::max(max_level.value_or(admission::open_level),
-                                 min_level(callee.route, callee.service, now));
+                                 service_level(callee.route, callee.service, now));
         }
     }
     return max_level;
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -2,9 +2,18 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace lavenderhoist::relay {
 
+namespace {
+
+/** Assumed if no service time is known, and a bound on the capacity of a target that has hardly
+ * served yet. */
+constexpr duration min_service_time = std::chrono::milliseconds(1);
+
+} // namespace
+
 known_target::known_target(mesh::host_record record, mesh::distance where)
     : record_(std::move(record)),
       endpoint_(net::make_endpoint(record_.call_address.host, record_.call_address.port)),
@@ -17,7 +26,8 @@
 mesh::candidate known_target::option(const std::string& route, time_point now) const {
     const int limit = std::max(1, last_report_.limit > 0 ? last_report_.limit : record_.slots);
     const int busy = std::max(last_report_.busy + sent_since_report_, health_.in_flight());
-    return {distance_, static_cast<double>(busy) / limit, level(route, now)};
+    return {distance_, static_cast<double>(busy) / limit, level(route, now),
+            last_report_.service_time};
 }
 
 admission::priority known_target::level(const std::string& route, time_point now) const {
@@ -55,19 +65,50 @@
     received.received_at = now;
 }
 
-admission::priority min_known_level(std::span<const std::shared_ptr<known_target>> targets,
-                                    const std::string& route, time_point now) {
-    std::optional<admission::priority> available;
-    std::optional<admission::priority> excluded;
+double known_target::capacity() const noexcept {
+    const auto service_time = std::max<duration>(last_report_.service_time, min_service_time);
+    return std::max(1, last_report_.limit) / std::chrono::duration<double>(service_time).count();
+}
+
+namespace {
+
+struct weighted_level {
+    admission::priority level;
+    double weight;
+};
+
+/** The lowest level at or below which half of the weight lies. */
+std::optional<admission::priority> median_of(std::vector<weighted_level>& levels) {
+    std::ranges::sort(levels, {}, &weighted_level::level);
+    double total = 0;
+    for (const auto& each : levels) {
+        total += each.weight;
+    }
+    double covered = 0;
+    for (const auto& each : levels) {
+        covered += each.weight;
+        if (covered * 2 >= total) {
+            return each.level;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+admission::priority median_level(std::span<const std::shared_ptr<known_target>> targets,
+                                 const std::string& route, time_point now) {
+    std::vector<weighted_level> available;
+    std::vector<weighted_level> excluded;
     for (const auto& target : targets) {
         const auto known = target->known_level(route, now);
         if (!known || target->record().state != mesh::target_state::ready) {
             continue;
         }
-        auto& min_level = target->is_available(now) ? available : excluded;
-        min_level = std::min(min_level.value_or(*known), *known);
+        auto& levels = target->is_available(now) ? available : excluded;
+        levels.push_back({*known, target->capacity()});
     }
-    return available.value_or(excluded.value_or(admission::open_level));
+    return median_of(available).value_or(median_of(excluded).value_or(admission::open_level));
 }
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -30,21 +30,22 @@
 
 std::string encode_load(const load_report& load) {
     return std::to_string(load.limit) + ' ' + std::to_string(load.busy) + ' ' +
-           std::to_string(load.level);
+           std::to_string(load.level) + ' ' + std::to_string(in_us(load.service_time));
 }
 
 std::optional<load_report> parse_load(std::string_view text) {
-    std::array<int, 3> values{};
-    for (auto& value : values) {
+    std::array<int, 4> values{};
+    constexpr std::size_t required_values = 3; // nodes of earlier versions send no service time
+    for (std::size_t i = 0; i < values.size() && (i < required_values || !text.empty()); ++i) {
         const auto end = std::min(text.find(' '), text.size());
         const auto parsed = parse<int>(text.substr(0, end));
         if (!parsed) {
             return std::nullopt;
         }
-        value = *parsed;
+        values.at(i) = *parsed;
         text.remove_prefix(std::min(end + 1, text.size()));
     }
-    return load_report{values[0], values[1], values[2]};
+    return load_report{values[0], values[1], values[2], std::chrono::microseconds(values[3])};
 }
 
 std::optional<execution> parse_execution(std::string_view name) {
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -107,8 +107,8 @@
     const auto known = routes_.find(route);
     const int busy = controller_->in_flight() + controller_->waiting();
     const auto below = level_below(route).value_or(admission::open_level);
-    const load_report target_load{controller_->limit(), busy,
-                                  std::max(controller_->level(), below)};
+    const load_report target_load{controller_->limit(), busy, std::max(controller_->level(), below),
+                                  controller_->service_time()};
     if (known == routes_.end()) {
         return target_load;
     }
@@ -116,7 +116,8 @@
     const auto& limit = known->second.limit;
     const bool is_tighter =
         limit.in_flight() * target_load.limit > target_load.busy * limit.value();
-    return is_tighter ? load_report{limit.value(), limit.in_flight(), target_load.level}
+    return is_tighter ? load_report{limit.value(), limit.in_flight(), target_load.level,
+                                    target_load.service_time}
                       : target_load;
 }
 
