Two nodes of each data centre read the store; versions are compared before state is fetched

Nodes that do not respond or have lost the store are passed over, with growing delays. State is fetched only from a node whose versions are newer, and without what is known already. The first read after a failure does not wait. A reader that finds itself behind another node checks its connection.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -3,7 +3,9 @@
 #include "lavenderhoist/agent/agent_settings.hpp"
 #include "lavenderhoist/agent/internal/lag_detector.hpp"
 #include "lavenderhoist/agent/platform_codec.hpp"
+#include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/agent/store_client.hpp"
+#include "lavenderhoist/agent/store_readers.hpp"
 #include "lavenderhoist/agent/topic_follower.hpp"
 #include "lavenderhoist/mesh/directory.hpp"
 #include "lavenderhoist/mesh/target_lifecycle.hpp"
@@ -68,8 +70,13 @@
     boost::asio::awaitable<void> publish_loop();
     boost::asio::awaitable<void> peer_loop();
     boost::asio::awaitable<void> fetch_shared_state(net::tcp::endpoint peer);
-    boost::asio::awaitable<void> compare_versions(net::tcp::endpoint peer);
-    mesh::record_position max_host_position() const;
+    boost::asio::awaitable<void> compare_with_reader(std::string reader);
+    boost::asio::awaitable<void> compare_with(net::tcp::endpoint peer);
+    boost::asio::awaitable<std::optional<shared_versions>> fetch_versions(net::tcp::endpoint peer);
+    shared_versions versions() const;
+    bool is_store_lost() const noexcept;
+    bool is_older_than(const shared_versions& other) const;
+    void update_followers();
     std::vector<net::tcp::endpoint> peer_endpoints() const;
     void apply_shared_state(const std::string& text);
     topic_follower::events make_events(topic which);
@@ -87,6 +94,8 @@
     std::unique_ptr<net::http_server> readiness_server_;
     std::unique_ptr<net::http_server> metrics_server_;
     mesh::directory directory_;
+    mesh::record_position read_position_; ///< All host records up to it are known.
+    store_readers readers_;
     mesh::target_lifecycle target_;
     time_point last_comparison_at_;
     internal::lag_detector<std::uint64_t> configuration_lag_;
--- a/libs/agent/include/lavenderhoist/agent/shared_state.hpp
+++ b/libs/agent/include/lavenderhoist/agent/shared_state.hpp
@@ -9,17 +9,20 @@
 
 namespace lavenderhoist::agent {
 
-/** \brief Control state that a node fetches from another while it can't reach the store or is
- * behind. */
+/** \brief Control state, or the newer part of it, that a node fetches from another while it can't
+ * reach the store or is behind. */
 struct shared_state {
+    std::uint64_t configuration_version{0};
     std::string configuration; ///< The document as published; empty if none is known.
     std::vector<mesh::stored_host_record> hosts;
+    mesh::record_position position; ///< All host records up to it are known.
 };
 
 /** \brief How recent a node's control state is. */
 struct shared_versions {
     std::uint64_t configuration{0};
-    mesh::record_position max_host_position; ///< Highest position of its host records.
+    mesh::record_position position; ///< All host records up to it are known.
+    bool reads_store{true};         ///< It receives records as the store appends them.
 };
 
 std::string encode(const shared_versions& versions);
@@ -27,7 +30,8 @@
 /** \returns nothing if the text is not an encoded shared_versions. */
 std::optional<shared_versions> decode_versions(std::string_view text);
 
-std::string encode(const shared_state& state);
+/** \brief Encodes what a peer with the given versions lacks. */
+std::string encode_newer(const shared_state& state, const shared_versions& known);
 
 /** \returns nothing if the text is not an encoded shared_state. */
 std::optional<shared_state> decode_shared_state(std::string_view text);
--- a/libs/agent/include/lavenderhoist/agent/store_client.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_client.hpp
@@ -19,9 +19,9 @@
     /** \brief Lists the newest record of each key of a topic, over all pages. */
     boost::asio::awaitable<read_result> list_newest(topic which);
 
-    /** \brief Reads the records from an offset on; a long poll if there are none yet, which
-     * `cancelled` ends. */
-    boost::asio::awaitable<read_result> read(topic which, std::int64_t offset,
+    /** \brief Reads the records from an offset on; a long poll of up to `wait` if there are none
+     * yet, which `cancelled` ends. */
+    boost::asio::awaitable<read_result> read(topic which, std::int64_t offset, duration wait,
                                              net::cancellation_ptr cancelled);
 
     /** \brief Appends a record. After a store_failure the record may have been written or not; the
--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/agent/store_client.hpp"
 
 #include "lavenderhoist/net/cancellation.hpp"
+#include "lavenderhoist/net/timer.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -42,12 +43,25 @@
 
     duration batch_delay() const noexcept { return batch_delay_; }
 
+    /** \brief Stops or resumes reading; a topic that has not been listed yet is listed in any case.
+     * Begins active. */
+    void set_active(bool active);
+
+    /** \brief The pending read may have lost its connection: it is made again without a wait. */
+    void check_connection();
+
+    /** \brief Bound on the delay between calls while the store is lost. */
+    void set_max_backoff(duration max_backoff) noexcept { max_backoff_ = max_backoff; }
+
     /** \brief Another call has shown the store's era: if it is later than that of the records, the
      * pending read is cancelled and the topic is listed again. */
     void on_era(std::int64_t era);
 
-    /** \brief The era of the records read last. */
-    std::int64_t era() const noexcept { return era_; }
+    /** \brief Position of the last record that was read; all records up to it are known. */
+    mesh::record_position position() const noexcept { return {era_, next_offset_ - 1}; }
+
+    /** \brief True if records are received as the store appends them. */
+    bool is_reading() const noexcept { return active_ && listed_ && !store_lost_; }
 
     /** \brief True if the last call of the store failed. */
     bool is_store_lost() const noexcept { return store_lost_; }
@@ -57,6 +71,7 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> on_failure(const store_failure& failure);
     void on_answer();
+    void cancel_pending_read();
 
     boost::asio::any_io_executor executor_;
     store_client& store_;
@@ -65,6 +80,10 @@
     events handlers_;
     std::mt19937_64 random_;
     net::cancellation_ptr pending_read_;
+    net::timer activation_; ///< Cancelled when reading is to resume.
+    duration max_backoff_;
+    bool active_{true};
+    bool waits_for_records_{true}; ///< False: the next read only checks the connection.
     std::int64_t era_{0};
     std::int64_t next_offset_{0};
     bool listed_{false};     ///< Reads go on from `next_offset_`.
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -1,12 +1,16 @@
 #include "lavenderhoist/agent/control_worker.hpp"
 
 #include "lavenderhoist/agent/internal/endpoint_of.hpp"
+#include "lavenderhoist/agent/internal/host_batch_delay.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 
 #include <boost/json/object.hpp>
 
+#include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace lavenderhoist::agent {
@@ -31,19 +35,34 @@
  * its timeout; a peer's newer version shows earlier that a record was missed. */
 constexpr duration comparison_interval = std::chrono::milliseconds(400);
 
+/** Bounds on the delay between calls of a lost store: of the nodes that normally read it, and of
+ * those that only take the place of others. */
+constexpr duration max_reader_backoff = std::chrono::milliseconds(800);
+constexpr duration max_substitute_backoff = std::chrono::milliseconds(3'200);
+
 /** Max. time between the store's responses to the long polls of different nodes for one record. */
 constexpr duration max_answer_skew = std::chrono::milliseconds(300);
 
 } // namespace
 
+shared_versions control_worker::versions() const {
+    return {table_ ? table_->version() : 0, read_position_,
+            configuration_follower_.is_reading() && hosts_follower_.is_reading()};
+}
+
 void control_worker::update_shared_state() {
-    shared_state state;
-    state.configuration = configuration_text_;
+    const auto state = std::make_shared<shared_state>();
+    state->configuration_version = table_ ? table_->version() : 0;
+    state->configuration = configuration_text_;
+    state->position = read_position_;
     for (const auto& [id, placed] : directory_.hosts()) {
-        state.hosts.push_back(placed);
+        state->hosts.push_back(placed);
     }
-    const shared_versions versions{table_ ? table_->version() : 0, max_host_position()};
-    data_.set_shared_state({std::make_shared<const std::string>(encode(state)), encode(versions)});
+    data_.set_shared_state({[state](std::string_view known) {
+                                return encode_newer(
+                                    *state, decode_versions(known).value_or(shared_versions{}));
+                            },
+                            encode(versions())});
 }
 
 void control_worker::apply_shared_state(const std::string& text) {
@@ -54,9 +73,11 @@
     for (const auto& entry : state->hosts) {
         apply_host_record(entry.record, entry.position);
     }
+    read_position_ = std::max(read_position_, state->position);
     if (published_record_) {
         restore_local_record();
     }
+    check_local_record_is_stored();
     if (!state->configuration.empty() && state->configuration != configuration_text_) {
         apply_configuration(state->configuration, "node");
     }
@@ -92,59 +113,121 @@
                  {"waited_ms", std::chrono::duration_cast<milliseconds>(restore_timeout).count()}});
             restore_local_record();
         }
+        if (const auto reader = table_ ? readers_.next_node(runtime_clock::now()) : std::nullopt) {
+            co_await compare_with_reader(*reader);
+            continue;
+        }
         const auto peers = peer_endpoints();
-        if (peers.empty()) {
+        const bool is_due = is_store_lost() || !table_ ||
+                            runtime_clock::now() - last_comparison_at_ > comparison_interval;
+        if (peers.empty() || !is_due) {
             continue;
         }
+        last_comparison_at_ = runtime_clock::now();
         const auto& peer = peers[random_() % peers.size()];
-        if (configuration_follower_.is_store_lost() || hosts_follower_.is_store_lost() || !table_) {
+        if (table_) {
+            co_await compare_with(peer);
+        } else {
             co_await fetch_shared_state(peer);
-        } else if (runtime_clock::now() - last_comparison_at_ > comparison_interval) {
-            last_comparison_at_ = runtime_clock::now();
-            co_await compare_versions(peer);
         }
     }
 }
 
-mesh::record_position control_worker::max_host_position() const {
-    mesh::record_position max_position;
-    for (const auto& [id, placed] : directory_.hosts()) {
-        max_position = std::max(max_position, placed.position);
+bool control_worker::is_store_lost() const noexcept {
+    return configuration_follower_.is_store_lost() || hosts_follower_.is_store_lost();
+}
+
+void control_worker::update_followers() {
+    const auto max_backoff =
+        readers_.is_first_choice() ? max_reader_backoff : max_substitute_backoff;
+    std::set<std::string_view> data_centres;
+    for (const auto& host : *listed_hosts_) {
+        data_centres.insert(host.data_centre);
+    }
+    const auto readers = data_centres.size() * store_readers::readers_per_data_centre;
+    hosts_follower_.set_batch_delay(
+        internal::host_batch_delay(std::min(listed_hosts_->size(), readers)));
+    for (auto* const follower : {&configuration_follower_, &hosts_follower_}) {
+        follower->set_max_backoff(max_backoff);
+        follower->set_active(readers_.is_reader());
     }
-    return max_position;
 }
 
-asio::awaitable<void> control_worker::compare_versions(net::tcp::endpoint peer) {
-    net::request request;
-    request.method = "GET";
-    request.path = relay::data_worker::versions_path;
+bool control_worker::is_older_than(const shared_versions& other) const {
+    const auto local = versions();
+    return local.configuration < other.configuration || local.position < other.position;
+}
+
+asio::awaitable<std::optional<shared_versions>>
+control_worker::fetch_versions(net::tcp::endpoint peer) {
+    const net::request request{"GET", std::string(relay::data_worker::versions_path), {}, {}};
     const auto answer = co_await peers_.exchange(peer, request, runtime_clock::now() + peer_timeout,
                                                  peer_timeout, nullptr);
-    const auto peer_versions = answer.code ? std::nullopt : decode_versions(answer.answer.body);
+    co_return answer.code ? std::nullopt : decode_versions(answer.answer.body);
+}
+
+asio::awaitable<void> control_worker::compare_with_reader(std::string reader) {
+    const auto* const known = directory_.find(reader);
+    if (known == nullptr) {
+        co_return;
+    }
+    const auto endpoint = endpoint_of(known->record.call_address);
+    const auto peer_versions = co_await fetch_versions(endpoint);
+    const auto now = runtime_clock::now();
+    const bool was_reader = readers_.is_reader();
+    if (peer_versions) {
+        readers_.on_response(reader, peer_versions->reads_store, now);
+    } else {
+        readers_.on_no_response(reader, now);
+    }
+    if (readers_.is_reader() != was_reader) {
+        log_line(severity::info, "store reader changed",
+                 {{"reads_store", !was_reader},
+                  {"peer", reader},
+                  {"peer_responded", peer_versions.has_value()}});
+        update_followers();
+        update_shared_state();
+    }
+    if (peer_versions && is_older_than(*peer_versions)) {
+        co_await fetch_shared_state(endpoint);
+    }
+}
+
+asio::awaitable<void> control_worker::compare_with(net::tcp::endpoint peer) {
+    const auto peer_versions = co_await fetch_versions(peer);
     if (!peer_versions) {
         co_return; // the peer is down or starting; the next comparison picks a peer anew
     }
+    if (is_store_lost()) {
+        if (is_older_than(*peer_versions)) {
+            co_await fetch_shared_state(peer);
+        }
+        co_return;
+    }
     const auto now = runtime_clock::now();
-    const auto local_position = max_host_position();
-    const auto& peer_position = peer_versions->max_host_position;
+    const auto local = versions();
     const bool has_stale_configuration = configuration_lag_.on_comparison(
-        table_->version(), peer_versions->configuration, max_answer_skew, now);
-    const bool has_stale_hosts = hosts_lag_.on_comparison(
-        local_position, peer_position, hosts_follower_.batch_delay() + max_answer_skew, now);
+        local.configuration, peer_versions->configuration, max_answer_skew, now);
+    const bool has_stale_hosts =
+        hosts_lag_.on_comparison(local.position, peer_versions->position,
+                                 hosts_follower_.batch_delay() + max_answer_skew, now);
     if (has_stale_configuration || has_stale_hosts) {
         log_line(severity::warning, "behind another node",
-                 {{"configuration", table_->version()},
+                 {{"configuration", local.configuration},
                   {"their_configuration", peer_versions->configuration},
-                  {"era", local_position.era},
-                  {"their_era", peer_position.era},
-                  {"newest_host", local_position.offset},
-                  {"their_newest_host", peer_position.offset}});
+                  {"era", local.position.era},
+                  {"their_era", peer_versions->position.era},
+                  {"newest_host", local.position.offset},
+                  {"their_newest_host", peer_versions->position.offset}});
+        (has_stale_configuration ? configuration_follower_ : hosts_follower_).check_connection();
         co_await fetch_shared_state(peer);
     }
 }
 
 asio::awaitable<void> control_worker::fetch_shared_state(net::tcp::endpoint peer) {
-    const net::request request{"GET", std::string(relay::data_worker::state_path), {}, {}};
+    net::request request{"GET", std::string(relay::data_worker::state_path), {}, {}};
+    request.fields.push_back(
+        {std::string(relay::data_worker::known_versions_field), encode(versions())});
     const auto answer = co_await peers_.exchange(peer, request, runtime_clock::now() + peer_timeout,
                                                  peer_timeout, nullptr);
     if (!answer.code) {
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -90,6 +90,7 @@
       hosts_follower_(context.get_executor(), store_, topic::hosts, internal::host_batch_delay(0),
                       make_events(topic::hosts)),
       peers_(context.get_executor(), max_peer_answer_bytes),
+      readers_(settings.id, settings.data_centre),
       listed_hosts_(std::make_shared<std::vector<mesh::host_record>>()),
       publish_wakeup_(context.get_executor()),
       stored_wakeup_(context.get_executor()),
@@ -120,16 +121,19 @@
     events.on_caught_up = [this, which] {
         if (which == topic::hosts) {
             has_read_hosts_ = true;
+            read_position_ = std::max(read_position_, hosts_follower_.position());
             restore_local_record();
             check_local_record_is_stored();
         }
         publish_view();
     };
-    events.on_store_lost = [name](const std::string& reason) {
+    events.on_store_lost = [this, name](const std::string& reason) {
         log_line(severity::warning, "store lost", {{"topic", name}, {"reason", reason}});
+        update_shared_state();
     };
-    events.on_store_regained = [name] {
+    events.on_store_regained = [this, name] {
         log_line(severity::info, "store regained", {{"topic", name}});
+        update_shared_state();
     };
     events.on_store_restored = [this, name](std::int64_t era) {
         log_line(severity::warning, "store restored from a copy", {{"topic", name}, {"era", era}});
@@ -207,13 +211,12 @@
     for (const auto& [id, placed] : directory_.hosts()) {
         listed.push_back(placed.record);
     }
-    hosts_follower_.set_batch_delay(internal::host_batch_delay(listed.size()));
     listed_hosts_ = std::make_shared<const std::vector<mesh::host_record>>(std::move(listed));
 }
 
 void control_worker::check_local_record_is_stored() {
     const auto* const known = directory_.find(settings_.id);
-    if (published_record_ && known != nullptr && known->position.era < hosts_follower_.era()) {
+    if (published_record_ && known != nullptr && known->position.era < read_position_.era) {
         published_record_.reset(); // the copy from which the store was restored lacks it
         publish_wakeup_.cancel();
     }
@@ -238,6 +241,8 @@
     next->table = table_;
     next->hosts = listed_hosts_;
     views_.replace(std::move(next));
+    readers_.set_hosts(*listed_hosts_);
+    update_followers();
     update_shared_state();
 }
 
--- a/libs/agent/src/shared_state.cpp
+++ b/libs/agent/src/shared_state.cpp
@@ -18,31 +18,40 @@
 
 std::string encode(const shared_versions& versions) {
     return json::serialize(json::object{{"configuration", versions.configuration},
-                                        {"era", versions.max_host_position.era},
-                                        {"newest_host", versions.max_host_position.offset}});
+                                        {"era", versions.position.era},
+                                        {"newest_host", versions.position.offset},
+                                        {"reads_store", versions.reads_store}});
 }
 
 std::optional<shared_versions> decode_versions(std::string_view text) {
     try {
         const auto parsed = json::parse(text);
         const auto& object = parsed.as_object();
-        return shared_versions{
-            object.at("configuration").to_number<std::uint64_t>(),
-            {era_of(object), object.at("newest_host").to_number<std::int64_t>()}};
+        const auto* const reads_store = object.if_contains("reads_store");
+        return shared_versions{object.at("configuration").to_number<std::uint64_t>(),
+                               {era_of(object), object.at("newest_host").to_number<std::int64_t>()},
+                               reads_store == nullptr || reads_store->as_bool()};
     } catch (const std::exception&) {
         return std::nullopt;
     }
 }
 
-std::string encode(const shared_state& state) {
+std::string encode_newer(const shared_state& state, const shared_versions& known) {
     json::array hosts;
     for (const auto& each : state.hosts) {
+        if (each.position <= known.position) {
+            continue;
+        }
         hosts.push_back({{"era", each.position.era},
                          {"offset", each.position.offset},
                          {"record", mesh::encode(each.record)}});
     }
+    const bool has_newer_configuration = state.configuration_version > known.configuration;
     return json::serialize(
-        json::object{{"configuration", state.configuration}, {"hosts", std::move(hosts)}});
+        json::object{{"configuration", has_newer_configuration ? state.configuration : ""},
+                     {"era", state.position.era},
+                     {"newest_host", state.position.offset},
+                     {"hosts", std::move(hosts)}});
 }
 
 std::optional<shared_state> decode_shared_state(std::string_view text) {
@@ -51,6 +60,9 @@
         const auto& object = parsed.as_object();
         shared_state state;
         state.configuration = object.at("configuration").as_string();
+        if (const auto* const offset = object.if_contains("newest_host")) {
+            state.position = {era_of(object), offset->to_number<std::int64_t>()};
+        }
         for (const auto& each : object.at("hosts").as_array()) {
             const auto& host = each.as_object();
             const auto record = mesh::decode_host_record(host.at("record").as_string());
--- a/libs/agent/src/store_client.cpp
+++ b/libs/agent/src/store_client.cpp
@@ -17,10 +17,6 @@
 /** For calls other than long polls; many times the store's usual response time of 4 ms. */
 constexpr duration call_timeout = std::chrono::milliseconds(1'500);
 
-/** Length of a long poll: long, since each call has a cost, and well below the 30 s that the store
- * allows. */
-constexpr duration read_wait = std::chrono::seconds(20);
-
 } // namespace
 
 store_client::store_client(asio::any_io_executor executor, const net::tcp::endpoint& store,
@@ -67,10 +63,10 @@
     }
 }
 
-asio::awaitable<read_result> store_client::read(topic which, std::int64_t offset,
+asio::awaitable<read_result> store_client::read(topic which, std::int64_t offset, duration wait,
                                                 net::cancellation_ptr cancelled) {
-    const auto answer = co_await exchange(codec_.read(which, offset, read_wait),
-                                          read_wait + call_timeout, std::move(cancelled));
+    const auto answer = co_await exchange(codec_.read(which, offset, wait), wait + call_timeout,
+                                          std::move(cancelled));
     co_return codec_.parse_read(answer, offset);
 }
 
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -13,7 +13,11 @@
 
 /** Backoff after failed store calls. */
 constexpr duration min_backoff = std::chrono::milliseconds(50);
-constexpr duration max_backoff = std::chrono::milliseconds(800);
+constexpr duration default_max_backoff = std::chrono::milliseconds(800);
+
+/** Length of a long poll: long, since each call has a cost, and well below the 30 s that the store
+ * allows. */
+constexpr duration read_wait = std::chrono::seconds(20);
 
 } // namespace
 
@@ -24,11 +28,17 @@
       which_(which),
       batch_delay_(batch_delay),
       handlers_(std::move(handlers)),
-      random_(std::random_device()()) {}
+      random_(std::random_device()()),
+      activation_(executor_),
+      max_backoff_(default_max_backoff) {}
 
 asio::awaitable<void> topic_follower::run() {
     while (true) {
-        if (listed_) {
+        if (has_listed_ && !active_) {
+            activation_.expires_at(time_point::max());
+            boost::system::error_code ignored;
+            co_await activation_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        } else if (listed_) {
             co_await follow();
         } else {
             co_await list();
@@ -36,6 +46,31 @@
     }
 }
 
+void topic_follower::set_active(bool active) {
+    if (std::exchange(active_, active) == active) {
+        return;
+    }
+    if (active) {
+        listed_ = false; // one list is cheaper than all records since
+        activation_.cancel();
+        return;
+    }
+    store_lost_ = false;
+    failures_ = 0;
+    cancel_pending_read();
+}
+
+void topic_follower::check_connection() {
+    waits_for_records_ = false;
+    cancel_pending_read();
+}
+
+void topic_follower::cancel_pending_read() {
+    if (pending_read_) {
+        pending_read_->cancel();
+    }
+}
+
 asio::awaitable<void> topic_follower::list() {
     const auto result = co_await store_.list_newest(which_);
     const auto* const batch = std::get_if<record_batch>(&result);
@@ -63,10 +98,13 @@
 
 asio::awaitable<void> topic_follower::follow() {
     pending_read_ = std::make_shared<net::cancellation>();
-    const auto result = co_await store_.read(which_, next_offset_, pending_read_);
-    if (pending_read_->is_cancelled()) {
+    // After a failure, a long poll would not tell whether the store is back until a record arrives.
+    const duration wait = store_lost_ || !waits_for_records_ ? duration(0) : read_wait;
+    const auto result = co_await store_.read(which_, next_offset_, wait, pending_read_);
+    if (std::exchange(pending_read_, nullptr)->is_cancelled()) {
         co_return;
     }
+    waits_for_records_ = true;
     if (std::holds_alternative<records_expired>(result)) {
         on_answer();
         listed_ = false;
@@ -98,9 +136,7 @@
         return;
     }
     listed_ = false;
-    if (pending_read_) {
-        pending_read_->cancel();
-    }
+    cancel_pending_read();
 }
 
 void topic_follower::on_answer() {
@@ -116,9 +152,9 @@
     }
     // Records may be appended and expire while the store is unreachable; the next read reports
     // that.
-    constexpr int max_doublings = 4;
+    constexpr int max_doublings = 6;
     const auto backoff =
-        std::min(max_backoff, min_backoff * (1 << std::min(failures_, max_doublings)));
+        std::min(max_backoff_, min_backoff * (1 << std::min(failures_, max_doublings)));
     ++failures_;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     co_await net::sleep_for(executor_,
--- a/libs/agent/test/topic_follower_test.cpp
+++ b/libs/agent/test/topic_follower_test.cpp
@@ -26,10 +26,10 @@
     read_result parse_newest(const net::exchange_result& answer) const override {
         return parse(answer);
     }
-    net::request read(topic /*which*/, std::int64_t /*offset*/, duration /*wait*/) const override {
+    net::request read(topic /*which*/, std::int64_t /*offset*/, duration wait) const override {
         net::request message;
         message.method = "GET";
-        message.path = "/read";
+        message.path = wait.count() > 0 ? "/read" : "/check";
         return message;
     }
     read_result parse_read(const net::exchange_result& answer,
@@ -127,6 +127,14 @@
     EXPECT_EQ(regained_, 1);
 }
 
+// Otherwise the node would take the store for lost until the next record arrives.
+TEST_F(follower_test, after_a_failed_read_the_next_one_does_not_wait) {
+    serve({200, 503, 200, 200});
+    follow();
+    EXPECT_EQ(paths_, (std::vector<std::string>{"/newest", "/read", "/check", "/read"}));
+    EXPECT_EQ(regained_, 1);
+}
+
 TEST_F(follower_test, expired_records_are_listed_again) {
     serve({200, 410, 200, 200, 200});
     follow();
--- a/libs/mesh/src/directory.cpp
+++ b/libs/mesh/src/directory.cpp
@@ -25,8 +25,7 @@
         return false;
     }
     if (known.position.era != position.era && is_ahead_of(known.record, record)) {
-        known.position = position;
-        return false;
+        return false; // keeps its position: the later era does not have this record
     }
     known = {record, position};
     return true;
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -20,7 +20,9 @@
 
 /** \brief Response bodies for other nodes that fetch the control state of this one; opaque here. */
 struct encoded_state {
-    std::shared_ptr<const std::string> state;
+    /** The state, without what the peer with the given versions knows; called on the data thread.
+     */
+    std::function<std::string(std::string_view known_versions)> state;
     std::string versions; ///< The versions of the state, to check whether it is newer.
 };
 
@@ -70,6 +72,8 @@
 
     /** \brief Path at which other nodes fetch the state given to set_shared_state(). */
     static constexpr std::string_view state_path = "/lh/state";
+    /** \brief Field with the versions that the peer knows. */
+    static constexpr std::string_view known_versions_field = "lh-versions";
     /** \brief Path at which other nodes fetch its versions only. */
     static constexpr std::string_view versions_path = "/lh/versions";
 
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -135,9 +135,11 @@
     net::response answer;
     constexpr int status_ok = 200;
     answer.status = status_ok;
-    answer.body = is_versions_path      ? control_state.versions
-                  : control_state.state ? *control_state.state
-                                        : "";
+    if (is_versions_path) {
+        answer.body = control_state.versions;
+    } else if (control_state.state) {
+        answer.body = control_state.state(net::find_header(message.fields, known_versions_field));
+    }
     call->answer(answer);
     return true;
 }
