A lost store is probed by one topic, and seldom by nodes that only take a reader's place

Change: nodes that are no first choice begin with 0.8 s and go up to 3.2 s; host records are tried again when the configuration's topic, which is probed, is back.

--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -50,8 +50,17 @@
     /** \brief The pending read may have lost its connection: it is made again without a wait. */
     void check_connection();
 
-    /** \brief Bound on the delay between calls while the store is lost. */
-    void set_max_backoff(duration max_backoff) noexcept { max_backoff_ = max_backoff; }
+    /** \brief Bounds of the delay between calls while the store is lost. */
+    struct backoff_bounds {
+        duration min;
+        duration max;
+    };
+
+    void set_backoff(const backoff_bounds& bounds) noexcept { backoff_ = bounds; }
+
+    /** \brief Another call has shown that the store is back: ends the delay before the next call.
+     */
+    void retry_now() { retry_delay_.cancel(); }
 
     /** \brief Another call has shown the store's era: if it is later than that of the records, the
      * pending read is cancelled and the topic is listed again. */
@@ -81,7 +90,8 @@
     std::mt19937_64 random_;
     net::cancellation_ptr pending_read_;
     net::timer activation_; ///< Cancelled when reading is to resume.
-    duration max_backoff_;
+    net::timer retry_delay_;
+    backoff_bounds backoff_;
     bool active_{true};
     bool waits_for_records_{true}; ///< False: the next read only checks the connection.
     std::int64_t era_{0};
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -35,10 +35,13 @@
  * its timeout; a peer's newer version shows earlier that a record was missed. */
 constexpr duration comparison_interval = std::chrono::milliseconds(400);
 
-/** Bounds on the delay between calls of a lost store: of the nodes that normally read it, and of
- * those that only take the place of others. */
-constexpr duration max_reader_backoff = std::chrono::milliseconds(800);
-constexpr duration max_substitute_backoff = std::chrono::milliseconds(3'200);
+/** Backoff while the store is lost. The nodes that normally read it try often; those that take
+ * their place seldom, since there are many. The other topic waits for the configuration topic,
+ * which wakes it. */
+constexpr topic_follower::backoff_bounds reader_backoff{std::chrono::milliseconds(50),
+                                                        std::chrono::milliseconds(800)};
+constexpr topic_follower::backoff_bounds substitute_backoff{std::chrono::milliseconds(800),
+                                                            std::chrono::milliseconds(3'200)};
 
 /** Max. time between the store's responses to the long polls of different nodes for one record. */
 constexpr duration max_answer_skew = std::chrono::milliseconds(300);
@@ -138,8 +141,9 @@
 }
 
 void control_worker::update_followers() {
-    const auto max_backoff =
-        readers_.is_first_choice() ? max_reader_backoff : max_substitute_backoff;
+    configuration_follower_.set_backoff(readers_.is_first_choice() ? reader_backoff
+                                                                   : substitute_backoff);
+    hosts_follower_.set_backoff(substitute_backoff);
     std::set<std::string_view> data_centres;
     for (const auto& host : *listed_hosts_) {
         data_centres.insert(host.data_centre);
@@ -148,7 +152,6 @@
     hosts_follower_.set_batch_delay(
         internal::host_batch_delay(std::min(listed_hosts_->size(), readers)));
     for (auto* const follower : {&configuration_follower_, &hosts_follower_}) {
-        follower->set_max_backoff(max_backoff);
         follower->set_active(readers_.is_reader());
     }
 }
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -133,6 +133,8 @@
     };
     events.on_store_regained = [this, name] {
         log_line(severity::info, "store regained", {{"topic", name}});
+        configuration_follower_.retry_now();
+        hosts_follower_.retry_now();
         update_shared_state();
     };
     events.on_store_restored = [this, name](std::int64_t era) {
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/** Backoff after failed store calls. */
-constexpr duration min_backoff = std::chrono::milliseconds(50);
-constexpr duration default_max_backoff = std::chrono::milliseconds(800);
+constexpr topic_follower::backoff_bounds default_backoff{std::chrono::milliseconds(50),
+                                                         std::chrono::milliseconds(800)};
 
 /** Length of a long poll: long, since each call has a cost, and well below the 30 s that the store
  * allows. */
@@ -30,7 +29,8 @@
       handlers_(std::move(handlers)),
       random_(std::random_device()()),
       activation_(executor_),
-      max_backoff_(default_max_backoff) {}
+      retry_delay_(executor_),
+      backoff_(default_backoff) {}
 
 asio::awaitable<void> topic_follower::run() {
     while (true) {
@@ -154,11 +154,12 @@
     // that.
     constexpr int max_doublings = 6;
     const auto backoff =
-        std::min(max_backoff_, min_backoff * (1 << std::min(failures_, max_doublings)));
+        std::min(backoff_.max, backoff_.min * (1 << std::min(failures_, max_doublings)));
     ++failures_;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
-    co_await net::sleep_for(executor_,
-                            std::chrono::duration_cast<duration>(backoff * jitter(random_)));
+    retry_delay_.expires_after(std::chrono::duration_cast<duration>(backoff * jitter(random_)));
+    boost::system::error_code ignored;
+    co_await retry_delay_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 } // namespace lavenderhoist::agent
