--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -2,6 +2,9 @@
 
 #include "lavenderhoist/net/sleep.hpp"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
