--- a/libs/mesh/src/directory.cpp
+++ b/libs/mesh/src/directory.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 bool directory::apply(const host_record& record, record_position position) {
-    const auto [found, is_new] = hosts_.try_emplace(record.id, stored_host_record{record, position});
+    const auto [found, is_new] =
+        hosts_.try_emplace(record.id, stored_host_record{record, position});
     auto& known = found->second;
     if (is_new) {
         return true;
