Directory: a node's own write takes its new position even if it reverts a departure

Cause: found by reading. A record kept against a restored, older one stays at its earlier era until its node writes again; if that write reverts gone to leaving (a delayed announcement after a restart), the record would have stayed there, and its node would have written it again and again. Test: directory.a_record_that_was_just_written_has_its_new_position.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -61,6 +61,7 @@
     void apply_configuration(const std::string& text, std::string_view source);
     void apply_host_record(const mesh::host_record& record, mesh::record_position position);
     void restore_local_record();
+    void update_listed_hosts();
     void check_local_record_is_stored();
     void publish_view();
     void update_shared_state();
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -209,6 +209,10 @@
     if (!directory_.apply(record, position)) {
         return;
     }
+    update_listed_hosts();
+}
+
+void control_worker::update_listed_hosts() {
     std::vector<mesh::host_record> listed;
     for (const auto& [id, placed] : directory_.hosts()) {
         listed.push_back(placed.record);
@@ -362,7 +366,10 @@
         if (const auto* const done = std::get_if<record_appended>(&result)) {
             backoff = min_publish_backoff;
             hosts_follower_.on_era(done->position.era);
-            apply_host_record(current, done->position);
+            if (directory_.put(current, done->position)) {
+                published_record_ = current;
+                update_listed_hosts();
+            }
             stored_wakeup_.cancel();
             publish_view();
             continue;
--- a/libs/mesh/include/lavenderhoist/mesh/directory.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/directory.hpp
@@ -30,6 +30,10 @@
     /** \brief Stores a record. \returns true if it is newer than the known record of its host. */
     bool apply(const host_record& record, record_position position);
 
+    /** \brief Stores a record that this node has just written, even if it reverts a departure.
+     * \returns false if a record at a higher position is known. */
+    bool put(const host_record& record, record_position position);
+
     const stored_host_record* find(const std::string& host) const;
 
     const std::map<std::string, stored_host_record>& hosts() const noexcept { return hosts_; }
--- a/libs/mesh/src/directory.cpp
+++ b/libs/mesh/src/directory.cpp
@@ -32,6 +32,15 @@
     return true;
 }
 
+bool directory::put(const host_record& record, record_position position) {
+    const auto* const known = find(record.id);
+    if (known != nullptr && known->position >= position) {
+        return false;
+    }
+    hosts_.insert_or_assign(record.id, stored_host_record{record, position});
+    return true;
+}
+
 const stored_host_record* directory::find(const std::string& host) const {
     const auto found = hosts_.find(host);
     return found == hosts_.end() ? nullptr : &found->second;
--- a/libs/mesh/test/directory_test.cpp
+++ b/libs/mesh/test/directory_test.cpp
@@ -41,6 +41,16 @@
     EXPECT_EQ(hosts.find("host")->record.state, target_state::ready);
 }
 
+// Otherwise the record would keep the position of an earlier era, and its node would write it again
+// and again.
+TEST(directory, a_record_that_was_just_written_has_its_new_position) {
+    directory hosts;
+    hosts.apply(make(target_state::gone), {1, 50});
+    EXPECT_TRUE(hosts.put(make(target_state::leaving), {2, 10}));
+    EXPECT_FALSE(hosts.put(make(target_state::ready), {2, 9})); // overwritten meanwhile
+    EXPECT_EQ(hosts.find("host")->position, (record_position{2, 10}));
+}
+
 TEST(directory, a_restored_record_does_not_revert_a_newer_start) {
     directory hosts;
     hosts.apply(make(target_state::ready, 7), {1, 50});
