Relay: what a target says of itself in its answers is read and logged

The incident's hypotheses can't be told apart by the logs: no line shows that a target names a limit on its requests or that it leaves, nor how many requests its node sends to it. Adds the line "target's notice changed" and the fields sent and announced_per_second of "target load". Decides nothing yet.

--- a/libs/relay/include/lavenderhoist/relay.hpp
+++ b/libs/relay/include/lavenderhoist/relay.hpp
@@ -13,6 +13,7 @@
 #include "lavenderhoist/relay/relay_answer.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
 #include "lavenderhoist/relay/stream_codec.hpp"
+#include "lavenderhoist/relay/target_notice.hpp"
 #include "lavenderhoist/relay/target_port.hpp"
 #include "lavenderhoist/relay/target_settings.hpp"
 #include "lavenderhoist/relay/view.hpp"
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -8,6 +8,7 @@
 #include "lavenderhoist/relay/load_log.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
+#include "lavenderhoist/relay/target_notice.hpp"
 #include "lavenderhoist/relay/target_settings.hpp"
 #include "lavenderhoist/relay/wire_names.hpp"
 
@@ -114,6 +115,7 @@
     void log_level();
     void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
+    void on_notice(const target_notice& notice);
     std::optional<admission::priority> level_below(const std::string& route) const;
     route_state& state_of(const relay_request& request);
     void release_route_slot(const job& ended);
@@ -134,6 +136,8 @@
     time_point down_until_{};
     logging::line_budget failure_lines_;
     load_log load_log_;
+    target_notice notice_; ///< The last one in an answer of the target.
+    std::uint64_t logged_sent_requests_{0};
     bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
     counters totals_;
--- a/libs/relay/include/lavenderhoist/relay/wire_names.hpp
+++ b/libs/relay/include/lavenderhoist/relay/wire_names.hpp
@@ -12,6 +12,8 @@
     std::string target_id;    ///< The target that a request is meant for.
     std::string not_executed; ///< In an answer: set if the target has not run the request.
     std::string caller;       ///< The service on whose host the request entered.
+    std::string rate_limit;   ///< In an answer: requests per second that the target accepts.
+    std::string leaving;      ///< In an answer: set if the target is about to stop.
 
     /** Separates, in the id of a nested call, the id of the request that makes the call from the
      * rest; 0 if ids of calls don't contain it. */
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -133,6 +133,10 @@
     if (const auto link = std::exchange(job->link, nullptr); link && link->is_idle()) {
         idle_.push_back(link);
     }
+    if (!result.code && target_ && job->target_id == target_->id &&
+        result.answer.status != status_misdirected) {
+        on_notice(read_notice(result.answer.fields, names_));
+    }
     auto answer = interpret(*job, std::move(result));
     auto how = admission::completion::answered;
     if (answer.result == execution::not_run) {
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -59,6 +59,7 @@
     if (!is_same) {
         close_idle_links();
         down_until_ = {};
+        notice_ = {};
         if (controller_) {
             refuse_waiting(errc::no_target);
         }
@@ -342,6 +343,11 @@
     }
     (*line)["service_ms"] =
         std::chrono::duration<double, std::milli>(controller_->service_time()).count();
+    (*line)["sent"] =
+        totals_.sent_requests - std::exchange(logged_sent_requests_, totals_.sent_requests);
+    if (notice_.rate_limit) {
+        (*line)["announced_per_second"] = *notice_.rate_limit;
+    }
     boost::json::array routes;
     for (const auto& [name, route] : routes_) {
         boost::json::object one{
@@ -355,6 +361,21 @@
     logging::log_line(logging::severity::info, "target load", std::move(*line));
 }
 
+void target_port::on_notice(const target_notice& notice) {
+    if (notice == notice_) {
+        return;
+    }
+    boost::json::object details{{"target", target_ ? target_->id : ""},
+                                {"leaving", notice.is_leaving},
+                                {"malformed_rate", notice.has_malformed_rate},
+                                {"sent_requests", totals_.sent_requests}};
+    if (notice.rate_limit) {
+        details["requests_per_second"] = *notice.rate_limit;
+    }
+    logging::log_line(logging::severity::info, "target's notice changed", std::move(details));
+    notice_ = notice;
+}
+
 void target_port::log_failure(const relay_request& request, const relay_answer& answer) {
     const auto now = runtime_clock::now();
     if (!failure_lines_.take(now)) {
