Targets are sent no more requests per second than they announce

Callers saw nothing: the targets went on at full speed.

The request path passed answers on without reading what the target says of itself; admission knew slots and times only, and a target that is fast and half empty looks open by these. The logged notices and the field sent show it: requests go on as before, at the first node already and before any restart.

Change: the limit joins the slots in the controller of the target's node, through which all requests to the target pass, so nothing has to be shared among nodes. A request waits, in the same queue and order, until slots and rate admit it; the admission level takes the limit for the capacity, so that callers and entries refuse the least important chains early; the load report carries the limit and its backlog, by which entries place requests elsewhere first. A limit lasts until an answer to a later request lacks it (answers overtake each other), and belongs to one start of a target. A node that was restarted learns the limit from the first request of an entry that knows it.

--- a/libs/admission/include/lavenderhoist/admission/controller.hpp
+++ b/libs/admission/include/lavenderhoist/admission/controller.hpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/admission/concurrency_limit.hpp"
 #include "lavenderhoist/admission/decision.hpp"
 #include "lavenderhoist/admission/level_estimator.hpp"
+#include "lavenderhoist/admission/rate_limiter.hpp"
 #include "lavenderhoist/admission/request_info.hpp"
 #include "lavenderhoist/admission/utilisation_tuner.hpp"
 #include "lavenderhoist/admission/wait_queue.hpp"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -26,8 +28,8 @@
  * \brief Decides which requests a target runs, queues or refuses.
  *
  * A pure state machine: the time is an argument of each call, decisions are returned. Invariants:
- * no request is admitted beyond limit(); no request waits while a slot is free; no state is kept
- * for a refused or finished request.
+ * no request is admitted beyond limit() or the rate limit; no request waits while a slot is free
+ * and the rate limit admits it; no state is kept for a refused or finished request.
  */
 class controller {
 public:
@@ -48,6 +50,24 @@
     /** \brief To be called every `window_length`. \returns decisions on queued requests. */
     std::vector<decision> on_window(time_point now);
 
+    /** \brief Limits the requests that start per second, or removes that limit. \returns decisions
+     * on queued requests. */
+    std::vector<decision> limit_rate(std::optional<double> per_second, time_point now);
+
+    /** \brief When on_rate_time() must be called next; `time_point::max()` if no request waits for
+     * the rate limit. */
+    time_point next_rate_time() const noexcept;
+
+    /** \brief Starts the queued requests that the rate limit now admits. */
+    std::vector<decision> on_rate_time(time_point now);
+
+    /** \brief The limit on requests per second; nothing if there is none. */
+    std::optional<double> rate_limit() const noexcept { return rate_.per_second(); }
+
+    /** \brief Requests queued, and those started ahead of the rate limit; 0 without a rate limit.
+     */
+    int rate_backlog(time_point now) const noexcept;
+
     /** \brief The target was restarted. \param cold rest of its cold start, if known. */
     void on_restart(duration cold = duration(0)) noexcept {
         limit_.restart();
@@ -80,6 +100,10 @@
         time_point started_at;
     };
 
+    bool can_start(time_point now) const noexcept {
+        return in_flight() < limit() && rate_.can_start(now);
+    }
+    void start(std::uint64_t id, time_point now);
     void enqueue(const request_info& request, time_point now, std::vector<decision>& decisions);
     void admit_queued(time_point now, std::vector<decision>& decisions);
     void refuse_expired(time_point now, std::vector<decision>& decisions);
@@ -89,11 +113,12 @@
     duration wait_objective() const noexcept;
     float desired_utilisation(duration max_wait) const noexcept;
     void record_wait(const wait_queue::entry& entry, time_point now) noexcept;
-    duration expected_wait(std::size_t ahead) const noexcept;
+    duration expected_wait(std::size_t ahead, time_point now) const noexcept;
     std::size_t queue_capacity() const noexcept;
     refused make_refusal(std::uint64_t id, errc reason);
 
     concurrency_limit limit_;
+    rate_limiter rate_;
     utilisation_tuner tuner_;
     bool was_saturated_{
         false}; ///< Requests were queued and no slot was free at the end of the last window.
--- a/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
+++ b/libs/admission/include/lavenderhoist/admission/level_estimator.hpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/admission/priority.hpp"
 
 #include <array>
+#include <optional>
 
 namespace lavenderhoist::admission {
 
@@ -25,6 +26,7 @@
         /** If overloaded: the share of the capacity that a rank and those above it may use
          * together. */
         std::array<float, ranks> max_utilisation{};
+        std::optional<float> max_capacity; ///< Requests that the target accepts; no bound if unset.
     };
 
     priority level() const noexcept { return level_; }
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -1,6 +1,7 @@
 #include "lavenderhoist/admission/controller.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderhoist::admission {
 namespace {
@@ -35,8 +36,8 @@
         decisions.emplace_back(make_refusal(request.id, errc::deadline_passed));
         return decisions;
     }
-    if (in_flight() < limit() && queue_.size() == 0) {
-        running_.emplace(request.id, running{now});
+    if (queue_.size() == 0 && can_start(now)) {
+        start(request.id, now);
         limit_.record_in_flight(in_flight());
         decisions.emplace_back(admitted{request.id});
         return decisions;
@@ -45,9 +46,35 @@
     return decisions;
 }
 
+void controller::start(std::uint64_t id, time_point now) {
+    rate_.on_start(now);
+    running_.emplace(id, running{now});
+}
+
+std::vector<decision> controller::limit_rate(std::optional<double> per_second, time_point now) {
+    rate_.set(per_second, now);
+    return on_rate_time(now);
+}
+
+time_point controller::next_rate_time() const noexcept {
+    const bool waits_for_rate = queue_.size() > 0 && in_flight() < limit();
+    return waits_for_rate ? rate_.next_start() : time_point::max();
+}
+
+std::vector<decision> controller::on_rate_time(time_point now) {
+    std::vector<decision> decisions;
+    refuse_expired(now, decisions);
+    admit_queued(now, decisions);
+    return decisions;
+}
+
+int controller::rate_backlog(time_point now) const noexcept {
+    return rate_.per_second() ? waiting() + static_cast<int>(std::ceil(rate_.backlog(now))) : 0;
+}
+
 void controller::enqueue(const request_info& request, time_point now,
                          std::vector<decision>& decisions) {
-    const auto wait = expected_wait(queue_.count_ahead(request, now));
+    const auto wait = expected_wait(queue_.count_ahead(request, now), now);
     const auto max_wait =
         (request.deadline - now) / (request.is_nested ? nested_max_wait_divisor : max_wait_divisor);
     if (wait > max_wait || now + wait + service_time_ > request.deadline) {
@@ -100,7 +127,11 @@
         service_time_.count() <= 0
             ? 0
             : static_cast<int>(static_cast<double>(limit()) * window_length / service_time_);
-    level_estimator::window seen{answered_requests_, capacity, refused_requests_ > 0, {}};
+    level_estimator::window seen{answered_requests_, capacity, refused_requests_ > 0, {}, {}};
+    if (const auto per_second = rate_.per_second()) {
+        const auto per_window = *per_second * std::chrono::duration<double>(window_length).count();
+        seen.max_capacity = static_cast<float>(per_window);
+    }
     // Evaluated for each rank: a long wait of reads behind orders is no reason to throttle orders.
     for (std::size_t rank = 0; rank < max_waits_.size(); ++rank) {
         seen.overloaded = seen.overloaded || max_waits_[rank] > wait_objective();
@@ -138,13 +169,13 @@
 }
 
 void controller::admit_queued(time_point now, std::vector<decision>& decisions) {
-    while (in_flight() < limit()) {
+    while (can_start(now)) {
         const auto next = queue_.pop();
         if (!next) {
             return;
         }
         record_wait(*next, now);
-        running_.emplace(next->request.id, running{now});
+        start(next->request.id, now);
         decisions.emplace_back(admitted{next->request.id});
     }
 }
@@ -174,13 +205,17 @@
     service_time_ += duration(static_cast<duration::rep>(delta * service_time_weight));
 }
 
-duration controller::expected_wait(std::size_t ahead) const noexcept {
+duration controller::expected_wait(std::size_t ahead, time_point now) const noexcept {
     const auto turns = static_cast<duration::rep>(ahead + 1);
-    return service_time_ * turns / std::max(1, limit());
+    return std::max(service_time_ * turns / std::max(1, limit()), rate_.wait_of(ahead + 1, now));
 }
 
 duration controller::wait_objective() const noexcept {
-    return std::max(min_wait_objective, service_time_ / 2);
+    duration turn(0); // of a request, if the rate limit spaces them out
+    if (const auto per_second = rate_.per_second()) {
+        turn = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / *per_second));
+    }
+    return std::max({min_wait_objective, service_time_ / 2, turn * 2});
 }
 
 void controller::record_wait(const wait_queue::entry& entry, time_point now) noexcept {
--- a/libs/admission/src/level_estimator.cpp
+++ b/libs/admission/src/level_estimator.cpp
@@ -54,7 +54,8 @@
 
 void level_estimator::on_window(const window& seen) noexcept {
     estimate_demand();
-    const auto capacity = static_cast<float>(std::max({seen.finished, seen.capacity, 1}));
+    const auto possible = static_cast<float>(std::max({seen.finished, seen.capacity, 1}));
+    const float capacity = std::min(possible, seen.max_capacity.value_or(possible));
     if (all_arrivals_ == 0) {
         level_ = std::max(open_level, level_ - idle_step);
     } else if (seen.overloaded) {
--- a/libs/admission/test/controller_test.cpp
+++ b/libs/admission/test/controller_test.cpp
@@ -108,6 +108,117 @@
     }
 }
 
+// With a rate limit that changes: no request is lost, none starts ahead of the limit, and none
+// waits although both limits admit it.
+RC_GTEST_PROP(controller, keeps_to_a_rate_limit_as_the_oracle_allows, ()) {
+    oracle state;
+    controller control(slots);
+    rate_limiter expected;
+    std::size_t running = 0;
+    const auto advance = [&](const std::vector<decision>& decisions, const request_info* offered) {
+        for (const auto& each : decisions) {
+            if (std::holds_alternative<admitted>(each)) {
+                RC_ASSERT(expected.can_start(state.now));
+                expected.on_start(state.now);
+                ++running;
+            }
+        }
+        apply(state, decisions, offered);
+    };
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1 << 20));
+    for (const int step : steps) {
+        const int kind = step % 8;
+        const int number = step / 8;
+        if (kind < 3) {
+            const int rank = number % ranks;
+            const request_info request{state.next_id++, rank * cohorts + number % cohorts,
+                                       number % 3 == 0,
+                                       state.now + std::chrono::milliseconds(number % 4'000)};
+            advance(control.on_arrival(request, state.now), &request);
+        } else if (kind == 3 && !state.running.empty()) {
+            const auto id = *state.running.begin();
+            state.running.erase(id);
+            advance(control.on_end(id, completion::answered, state.now), nullptr);
+        } else if (kind == 4 && !state.waiting.empty()) {
+            const auto id = state.waiting.begin()->first;
+            RC_ASSERT(control.on_cancel(id));
+            state.waiting.erase(id);
+        } else if (kind == 5) {
+            const auto limit = number % 3 == 0 ? std::nullopt : std::optional(number % 97 / 2.0);
+            expected.set(limit, state.now);
+            advance(control.limit_rate(limit, state.now), nullptr);
+        } else if (kind == 6) {
+            state.now += std::chrono::milliseconds(number % 300);
+            if (state.now >= control.next_rate_time()) {
+                advance(control.on_rate_time(state.now), nullptr);
+            }
+        } else {
+            advance(control.on_window(state.now), nullptr);
+        }
+        RC_ASSERT(control.in_flight() == static_cast<int>(state.running.size()));
+        RC_ASSERT(control.waiting() == static_cast<int>(state.waiting.size()));
+        RC_ASSERT(control.waiting() == 0 || control.in_flight() >= control.limit() ||
+                  control.next_rate_time() > state.now);
+    }
+    RC_CLASSIFY(running > 10U);
+}
+
+// The load pattern: a target named a limit far below what its slots could do, and callers ask for
+// three times the limit, orders first. What the limit allows is used, by the orders above all, and
+// the level tells callers to send no more reads than there is room for.
+TEST(controller, a_rate_limit_below_the_demand_is_used_and_raises_the_level) {
+    controller control(100);
+    control.assume_warm();
+    control.limit_rate(60, start);
+    auto now = start;
+    std::uint64_t id = 0;
+    std::map<time_point, std::vector<std::uint64_t>> ends;
+    std::set<std::uint64_t> orders;
+    int started = 0;
+    int orders_started = 0;
+    int orders_sent = 0;
+    const auto count = [&](const std::vector<decision>& decisions) {
+        for (const auto& each : decisions) {
+            if (const auto* const run = std::get_if<admitted>(&each)) {
+                ends[now + milliseconds(50)].push_back(run->id);
+                const bool is_measured = now >= start + std::chrono::seconds(4);
+                started += is_measured ? 1 : 0;
+                orders_started += is_measured && orders.contains(run->id) ? 1 : 0;
+            }
+        }
+    };
+    for (int ms = 0; ms < 10'000; ++ms, now += milliseconds(1)) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            for (const auto ended : ends.begin()->second) {
+                count(control.on_end(ended, completion::answered, now));
+            }
+            ends.erase(ends.begin());
+        }
+        if (now >= control.next_rate_time()) {
+            count(control.on_rate_time(now));
+        }
+        if (ms % 100 == 0) {
+            count(control.on_window(now));
+        }
+        const auto deadline = now + std::chrono::seconds(1);
+        const int cohort = static_cast<int>(id * 37 % cohorts);
+        if (ms % 25 == 0) { // 40 orders a second
+            const request_info order{++id, 6 * cohorts + cohort, false, deadline};
+            orders.insert(id);
+            orders_sent += ms >= 4'000 ? 1 : 0;
+            count(control.on_arrival(order, now));
+        }
+        const request_info read{++id, 2 * cohorts + cohort, false, deadline};
+        if (ms % 7 == 0 && read.importance >= control.level()) { // 143 reads a second
+            count(control.on_arrival(read, now));
+        }
+    }
+    EXPECT_GE(started, 60 * 6 * 90 / 100);
+    EXPECT_LE(started, 60 * 6 + 10);
+    EXPECT_GE(orders_started, orders_sent * 95 / 100);
+    EXPECT_GT(control.level(), 2 * cohorts);
+}
+
 TEST(controller, level_opens_within_a_second_without_load) {
     controller control(slots);
     auto now = start;
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -281,6 +281,7 @@
     relay::target_settings settings;
     settings.id = current_target->id;
     settings.service = current_target->service;
+    settings.started_at_ms = current_target->started_at_ms;
     settings.where = endpoint_of(current_target->address);
     settings.slots = current_target->slots;
     settings.cold_start_left = current_target->cold_left;
--- a/libs/relay/include/lavenderhoist/relay.hpp
+++ b/libs/relay/include/lavenderhoist/relay.hpp
@@ -2,6 +2,7 @@
 
 /** \file \brief Umbrella header: the request path of the sidecar. */
 
+#include "lavenderhoist/relay/announced_limit.hpp"
 #include "lavenderhoist/relay/attempt_plan.hpp"
 #include "lavenderhoist/relay/data_worker.hpp"
 #include "lavenderhoist/relay/entry.hpp"
@@ -10,6 +11,7 @@
 #include "lavenderhoist/relay/load_report.hpp"
 #include "lavenderhoist/relay/outcome_log.hpp"
 #include "lavenderhoist/relay/peer_links.hpp"
+#include "lavenderhoist/relay/rate_hint.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
 #include "lavenderhoist/relay/stream_codec.hpp"
--- a/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
@@ -20,6 +20,8 @@
     link_ptr link;
     std::shared_ptr<net::tcp::socket> connecting;
     std::string target_id;
+    std::int64_t target_started_at_ms{0};
+    time_point sent_at;
     bool admitted{false};
     bool sent{false};
 };
--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -4,6 +4,7 @@
 #include "lavenderhoist/mesh/placement.hpp"
 #include "lavenderhoist/net/endpoint.hpp"
 #include "lavenderhoist/relay/load_report.hpp"
+#include "lavenderhoist/relay/rate_hint.hpp"
 #include "lavenderhoist/routing/decaying_level.hpp"
 #include "lavenderhoist/routing/target_state.hpp"
 
@@ -27,7 +28,20 @@
     /** \brief Replaces the record; the target must not have been restarted since the old one. */
     void update(const mesh::host_record& record) { record_ = record; }
 
-    /** \brief True if the target is ready and not ejected. */
+    /** \brief Takes over what is known of the same start of the target under an older record of its
+     * host: what it has said of itself outlives its node. */
+    void inherit(const known_target& older);
+
+    /** \brief True if both are records of the same start of a target. */
+    bool is_same_start(const mesh::host_record& record) const noexcept {
+        return !record.target_id.empty() && record.target_id == record_.target_id &&
+               record.target_started_at_ms == record_.target_started_at_ms;
+    }
+
+    /** \brief The limit that the target has named, for its node, which may not know it. */
+    std::optional<rate_hint> known_rate() const noexcept;
+
+    /** \brief True if the target is ready and not ejected, and has not said that it leaves. */
     bool is_available(time_point now) const noexcept;
 
     /** \brief True if its node is shutting down: it is chosen only if no other target is available.
@@ -66,6 +80,8 @@
     routing::target_state& health() noexcept { return health_; }
 
 private:
+    double rate_load(time_point now) const noexcept;
+
     struct received_level {
         routing::decaying_level memory;
         time_point received_at{};
@@ -80,6 +96,7 @@
     load_report last_report_;
     time_point last_report_at_{};
     int sent_since_report_{0};
+    bool is_leaving_{false};
 };
 
 /**
--- a/libs/relay/include/lavenderhoist/relay/relay_request.hpp
+++ b/libs/relay/include/lavenderhoist/relay/relay_request.hpp
@@ -3,7 +3,9 @@
 #include "lavenderhoist/admission/priority.hpp"
 #include "lavenderhoist/core/clock.hpp"
 #include "lavenderhoist/net/message.hpp"
+#include "lavenderhoist/relay/rate_hint.hpp"
 
+#include <optional>
 #include <string>
 
 namespace lavenderhoist::relay {
@@ -20,6 +22,7 @@
     admission::priority importance{0};
     bool is_nested{false};  ///< A call made for a request that a target is already working on.
     bool idempotent{false}; ///< It may run more than once.
+    std::optional<rate_hint> target_rate{}; ///< What the entry knows of the target it is sent to.
 };
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/logging/line_budget.hpp"
 #include "lavenderhoist/net/deadline_queue.hpp"
 #include "lavenderhoist/net/http_link.hpp"
+#include "lavenderhoist/relay/announced_limit.hpp"
 #include "lavenderhoist/relay/load_log.hpp"
 #include "lavenderhoist/relay/relay_answer.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
@@ -115,7 +116,9 @@
     void log_level();
     void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
-    void on_notice(const target_notice& notice);
+    void on_notice(const job& job, const target_notice& notice);
+    void apply_rate_limit();
+    void schedule_rate_time();
     std::optional<admission::priority> level_below(const std::string& route) const;
     route_state& state_of(const relay_request& request);
     void release_route_slot(const job& ended);
@@ -137,6 +140,9 @@
     logging::line_budget failure_lines_;
     load_log load_log_;
     target_notice notice_; ///< The last one in an answer of the target.
+    announced_limit announced_limit_;
+    std::optional<double> applied_rate_limit_; ///< The limit that the controller knows.
+    std::optional<net::deadline_queue::handle> rate_time_;
     std::uint64_t logged_sent_requests_{0};
     bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
--- a/libs/relay/include/lavenderhoist/relay/target_settings.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_settings.hpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/core/clock.hpp"
 #include "lavenderhoist/net/endpoint.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace lavenderhoist::relay {
@@ -11,6 +12,7 @@
 struct target_settings {
     std::string id;
     std::string service;
+    std::int64_t started_at_ms{0}; ///< Wall-clock time of its start: ids may be used again.
     net::tcp::endpoint where;
     int slots{1};
     int max_connections{1};
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -93,11 +93,18 @@
                    old.target_started_at_ms == record.target_started_at_ms &&
                    old.node_stopping == record.node_stopping;
         });
-        auto kept = same == known.end()
-                        ? std::make_shared<known_target>(record, distance_to(record))
-                        : *same;
-        kept->update(record);
-        next[record.service].push_back(std::move(kept));
+        if (same != known.end()) {
+            (*same)->update(record);
+            next[record.service].push_back(*same);
+            continue;
+        }
+        auto added = std::make_shared<known_target>(record, distance_to(record));
+        const auto older = std::ranges::find_if(
+            known, [&record](const known_target_ptr& each) { return each->is_same_start(record); });
+        if (older != known.end()) {
+            added->inherit(**older);
+        }
+        next[record.service].push_back(std::move(added));
     }
     for (auto& [name, service] : services_) {
         service.targets = std::move(next[name]);
--- a/libs/relay/src/entry_attempts.cpp
+++ b/libs/relay/src/entry_attempts.cpp
@@ -122,6 +122,7 @@
     request->tried.push_back(target);
     request->sent_to = target;
     request->cancel = nullptr;
+    request->request.target_rate = target->known_rate();
     target->on_sent();
     auto done = [this, request, target, number](relay_answer answer) {
         if (!request->finished && request->attempt_number == number) {
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -1,5 +1,7 @@
 #include "lavenderhoist/relay/known_target.hpp"
 
+#include "lavenderhoist/admission/rate_limiter.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -12,6 +14,10 @@
  * served yet. */
 constexpr duration min_service_time = std::chrono::milliseconds(1);
 
+/** A target whose backlog takes as long as this is fully loaded. */
+constexpr double rate_period_s =
+    std::chrono::duration<double>(admission::rate_limiter::burst).count();
+
 } // namespace
 
 known_target::known_target(mesh::host_record record, mesh::distance where)
@@ -20,15 +26,43 @@
       distance_(where) {}
 
 bool known_target::is_available(time_point now) const noexcept {
-    return record_.state == mesh::target_state::ready && health_.is_available(now);
+    return record_.state == mesh::target_state::ready && !is_leaving_ && health_.is_available(now);
+}
+
+void known_target::inherit(const known_target& older) {
+    is_leaving_ = older.is_leaving_;
+    last_report_.rate_limit = older.last_report_.rate_limit;
+}
+
+std::optional<rate_hint> known_target::known_rate() const noexcept {
+    if (!last_report_.rate_limit) {
+        return std::nullopt;
+    }
+    return rate_hint{*last_report_.rate_limit, record_.target_started_at_ms};
+}
+
+double known_target::rate_load(time_point now) const noexcept {
+    if (!last_report_.rate_limit) {
+        return 0;
+    }
+    const auto age = std::chrono::duration<double>(report_age(now)).count();
+    const double covered = *last_report_.rate_limit * age;
+    const double backlog = last_report_.rate_backlog + sent_since_report_ - covered;
+    return std::max(0.0, backlog) / std::max(1.0, *last_report_.rate_limit * rate_period_s);
 }
 
 mesh::candidate known_target::option(const std::string& route, time_point now,
                                      admission::priority default_level) const {
     const int limit = std::max(1, last_report_.limit > 0 ? last_report_.limit : record_.slots);
     const int busy = std::max(last_report_.busy + sent_since_report_, health_.in_flight());
-    return {distance_, static_cast<double>(busy) / limit,
-            known_level(route, now).value_or(default_level), last_report_.service_time};
+    mesh::candidate result{distance_, static_cast<double>(busy) / limit,
+                           known_level(route, now).value_or(default_level),
+                           last_report_.service_time};
+    if (const double load = rate_load(now); load > result.load) {
+        result.load = load;
+        result.service_time = admission::rate_limiter::burst;
+    }
+    return result;
 }
 
 admission::priority known_target::level(const std::string& route, time_point now) const {
@@ -61,6 +95,7 @@
     last_report_ = report;
     last_report_at_ = now;
     sent_since_report_ = 0;
+    is_leaving_ = is_leaving_ || report.is_leaving; // final for a start
     auto& received = levels_[route];
     received.memory.record(report.level, now);
     received.received_at = now;
@@ -68,7 +103,9 @@
 
 double known_target::capacity() const noexcept {
     const auto service_time = std::max<duration>(last_report_.service_time, min_service_time);
-    return std::max(1, last_report_.limit) / std::chrono::duration<double>(service_time).count();
+    const double by_slots =
+        std::max(1, last_report_.limit) / std::chrono::duration<double>(service_time).count();
+    return std::min(by_slots, last_report_.rate_limit.value_or(by_slots));
 }
 
 namespace {
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -28,14 +28,30 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(length).count();
 }
 
+/** Rates are sent in thousandths of a request per second; higher ones are sent as this one. */
+constexpr double max_sent_rate = 1'000'000;
+constexpr int rate_unit = 1'000;
+constexpr int no_rate = -1;
+
+int encode_rate(std::optional<double> per_second) {
+    return per_second ? static_cast<int>(std::min(*per_second, max_sent_rate) * rate_unit)
+                      : no_rate;
+}
+
+std::optional<double> decode_rate(int sent) {
+    return sent < 0 ? std::nullopt : std::optional(static_cast<double>(sent) / rate_unit);
+}
+
 std::string encode_load(const load_report& load) {
     return std::to_string(load.limit) + ' ' + std::to_string(load.busy) + ' ' +
-           std::to_string(load.level) + ' ' + std::to_string(in_us(load.service_time));
+           std::to_string(load.level) + ' ' + std::to_string(in_us(load.service_time)) + ' ' +
+           std::to_string(encode_rate(load.rate_limit)) + ' ' + std::to_string(load.rate_backlog) +
+           ' ' + (load.is_leaving ? '1' : '0');
 }
 
 std::optional<load_report> parse_load(std::string_view text) {
-    std::array<int, 4> values{};
-    constexpr std::size_t required_values = 3; // nodes of earlier versions send no service time
+    std::array<int, 7> values{0, 0, 0, 0, no_rate, 0, 0};
+    constexpr std::size_t required_values = 3; // nodes of earlier versions send fewer values
     for (std::size_t i = 0; i < values.size() && (i < required_values || !text.empty()); ++i) {
         const auto end = std::min(text.find(' '), text.size());
         const auto parsed = parse<int>(text.substr(0, end));
@@ -45,7 +61,20 @@
         values.at(i) = *parsed;
         text.remove_prefix(std::min(end + 1, text.size()));
     }
-    return load_report{values[0], values[1], values[2], std::chrono::microseconds(values[3])};
+    load_report report{values[0], values[1], values[2], std::chrono::microseconds(values[3])};
+    report.rate_limit = decode_rate(values[4]);
+    report.rate_backlog = std::max(0, values[5]);
+    report.is_leaving = values[6] != 0;
+    return report;
+}
+
+std::optional<rate_hint> parse_rate_hint(std::string_view rate, std::string_view started_at_ms) {
+    const auto sent = parse<int>(rate);
+    const auto started = parse<std::int64_t>(started_at_ms);
+    if (!sent || *sent < 0 || !started) {
+        return std::nullopt;
+    }
+    return rate_hint{*decode_rate(*sent), *started};
 }
 
 std::optional<execution> parse_execution(std::string_view name) {
@@ -75,6 +104,12 @@
     if (request.idempotent) {
         fields.push_back({"lh-repeatable", "1"});
     }
+    if (request.target_rate) {
+        fields.push_back(
+            {"lh-known-rate", std::to_string(encode_rate(request.target_rate->per_second))});
+        fields.push_back(
+            {"lh-known-start", std::to_string(request.target_rate->target_started_at_ms)});
+    }
     return message;
 }
 
@@ -89,6 +124,7 @@
     request.caller = field("lh-caller");
     request.is_nested = !field("lh-under-way").empty();
     request.idempotent = !field("lh-repeatable").empty();
+    request.target_rate = parse_rate_hint(field("lh-known-rate"), field("lh-known-start"));
     const auto left = parse<std::int64_t>(field("lh-left-us"));
     const auto objective = parse<std::int64_t>(field("lh-objective-us"));
     const auto importance = parse<int>(field("lh-importance"));
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -43,6 +43,7 @@
         return;
     }
     job->target_id = target_->id;
+    job->target_started_at_ms = target_->started_at_ms;
     if (const auto link = take_idle_link()) {
         send(job, link);
         return;
@@ -122,6 +123,7 @@
 void target_port::send(const job_ptr& job, const link_ptr& link) {
     job->link = link;
     job->sent = true;
+    job->sent_at = runtime_clock::now();
     running_.erase(job->request.id); // the old key is a view into the old job
     running_.emplace(job->request.id, job.get());
     ++totals_.sent_requests;
@@ -133,9 +135,10 @@
     if (const auto link = std::exchange(job->link, nullptr); link && link->is_idle()) {
         idle_.push_back(link);
     }
-    if (!result.code && target_ && job->target_id == target_->id &&
-        result.answer.status != status_misdirected) {
-        on_notice(read_notice(result.answer.fields, names_));
+    const bool is_of_current_start = target_ && job->target_id == target_->id &&
+                                     job->target_started_at_ms == target_->started_at_ms;
+    if (!result.code && is_of_current_start && result.answer.status != status_misdirected) {
+        on_notice(*job, read_notice(result.answer.fields, names_));
     }
     auto answer = interpret(*job, std::move(result));
     auto how = admission::completion::answered;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -34,6 +34,9 @@
 /** Smaller changes of the admission level are not logged. */
 constexpr admission::priority logged_level_step = admission::cohorts / 4;
 
+/** Least time until the next request is started by the rate limit: several at once are cheaper. */
+constexpr duration min_rate_step = std::chrono::milliseconds(2);
+
 /** Log lines a second about requests without an answer from the target. */
 constexpr double failure_lines_per_second = 5;
 
@@ -54,12 +57,12 @@
 void target_port::set_target(const std::optional<target_settings>& target) {
     const bool is_same =
         target_ && target && target_->id == target->id && target_->where == target->where;
+    const bool is_same_start = is_same && target_->started_at_ms == target->started_at_ms;
     const bool took_work = target_ && target_->is_accepting;
     target_ = target;
     if (!is_same) {
         close_idle_links();
         down_until_ = {};
-        notice_ = {};
         if (controller_) {
             refuse_waiting(errc::no_target);
         }
@@ -71,6 +74,11 @@
         controller_ = std::make_unique<admission::controller>(target_->slots);
     }
     controller_->resize(target_->slots);
+    if (!is_same_start) { // what a target says of itself does not bind its successor
+        notice_ = {};
+        announced_limit_ = {};
+        apply_rate_limit();
+    }
     if (!is_same) {
         routes_.clear();
     }
@@ -108,8 +116,10 @@
     const auto known = routes_.find(route);
     const int busy = controller_->in_flight() + controller_->waiting();
     const auto below = level_below(route).value_or(admission::open_level);
-    const load_report target_load{controller_->limit(), busy, std::max(controller_->level(), below),
-                                  controller_->service_time()};
+    load_report target_load{controller_->limit(), busy, std::max(controller_->level(), below),
+                            controller_->service_time()};
+    target_load.rate_limit = controller_->rate_limit();
+    target_load.rate_backlog = controller_->rate_backlog(runtime_clock::now());
     if (known == routes_.end()) {
         return target_load;
     }
@@ -117,9 +127,11 @@
     const auto& limit = known->second.limit;
     const bool is_tighter =
         limit.in_flight() * target_load.limit > target_load.busy * limit.value();
-    return is_tighter ? load_report{limit.value(), limit.in_flight(), target_load.level,
-                                    target_load.service_time}
-                      : target_load;
+    if (is_tighter) {
+        target_load.limit = limit.value();
+        target_load.busy = limit.in_flight();
+    }
+    return target_load;
 }
 
 target_port::ticket target_port::submit(relay_request request, done_handler done) {
@@ -161,6 +173,11 @@
         }
         route.limit.on_start(id, now);
     }
+    if (request.target_rate &&
+        request.target_rate->target_started_at_ms == target_->started_at_ms) {
+        announced_limit_.on_hint(request.target_rate->per_second);
+        apply_rate_limit();
+    }
     auto made = std::make_shared<job>();
     made->id = id;
     made->request = std::move(request);
@@ -172,6 +189,7 @@
     });
     apply(controller_->on_arrival(
         {id, made->request.importance, made->request.is_nested, made->request.deadline}, now));
+    schedule_rate_time();
     return id;
 }
 
@@ -253,6 +271,7 @@
         job->done(std::move(answer));
     }
     apply(decisions);
+    schedule_rate_time();
 }
 
 void target_port::remove_running(const job& ended) {
@@ -361,7 +380,9 @@
     logging::log_line(logging::severity::info, "target load", std::move(*line));
 }
 
-void target_port::on_notice(const target_notice& notice) {
+void target_port::on_notice(const job& job, const target_notice& notice) {
+    announced_limit_.on_answer(notice, job.sent_at, runtime_clock::now());
+    apply_rate_limit();
     if (notice == notice_) {
         return;
     }
@@ -376,6 +397,28 @@
     notice_ = notice;
 }
 
+void target_port::apply_rate_limit() {
+    if (!controller_ || announced_limit_.per_second() == applied_rate_limit_) {
+        return;
+    }
+    applied_rate_limit_ = announced_limit_.per_second();
+    apply(controller_->limit_rate(applied_rate_limit_, runtime_clock::now()));
+    schedule_rate_time();
+}
+
+void target_port::schedule_rate_time() {
+    const auto next = controller_->next_rate_time();
+    if (rate_time_ || next == time_point::max()) {
+        return;
+    }
+    const auto when = std::max(next, runtime_clock::now() + min_rate_step);
+    rate_time_ = deadlines_.add(when, [this] {
+        rate_time_.reset();
+        apply(controller_->on_rate_time(runtime_clock::now()));
+        schedule_rate_time();
+    });
+}
+
 void target_port::log_failure(const relay_request& request, const relay_answer& answer) {
     const auto now = runtime_clock::now();
     if (!failure_lines_.take(now)) {
--- a/libs/relay/test/known_target_test.cpp
+++ b/libs/relay/test/known_target_test.cpp
@@ -108,5 +108,41 @@
     EXPECT_EQ(median_level(targets, route, start), 765);
 }
 
+// A target that takes few requests per second looks idle by its slots.
+TEST(known_target, a_target_at_its_rate_limit_is_loaded_until_the_rate_covers_its_backlog) {
+    const auto target = ready_target();
+    load_report report{10, 0, admission::open_level, milliseconds(5)};
+    report.rate_limit = 20;
+    report.rate_backlog = 6;
+    target->on_report(route, report, start);
+    EXPECT_GE(target->option(route, start).load, 1);
+    EXPECT_LT(target->option(route, start + milliseconds(300)).load, 0.1);
+    target->on_sent();
+    target->on_sent();
+    EXPECT_GE(target->option(route, start + milliseconds(300)).load, 0.9);
+}
+
+TEST(known_target, what_a_target_said_of_itself_outlives_a_new_record_of_its_host) {
+    const auto older = ready_target();
+    load_report report{10, 0, admission::open_level, milliseconds(5)};
+    report.rate_limit = 20;
+    report.is_leaving = true;
+    older->on_report(route, report, start);
+    const auto newer = ready_target();
+    newer->inherit(*older);
+    ASSERT_TRUE(newer->known_rate());
+    EXPECT_EQ(newer->known_rate()->per_second, 20);
+    EXPECT_FALSE(newer->is_available(start));
+}
+
+TEST(median_level, a_limited_target_counts_by_its_limit) {
+    const std::vector targets{ready_target(), ready_target()};
+    load_report limited{10, 3, 900, milliseconds(5)};
+    limited.rate_limit = 20;
+    targets[0]->on_report(route, limited, start);
+    targets[1]->on_report(route, {10, 3, admission::open_level, milliseconds(5)}, start);
+    EXPECT_EQ(median_level(targets, route, start), admission::open_level);
+}
+
 } // namespace
 } // namespace lavenderhoist::relay
