A target that says in an answer that it leaves gets no further requests

A request that reaches such a target late is cut off when it stops.

Only the target's announcements were read, not its answers; an announcement may be lost or late, and a restarted node knows of neither.

Change: the node of the target refuses requests from that answer on, hands back those that wait (they run elsewhere), and publishes the departure like an announced one (target_lifecycle.on_departure_notice; it is final for that start).

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -52,6 +52,7 @@
     reply serve_target(net::request message);
     reply on_announcement(mesh::announcement received);
     reply on_sign_off(sign_off received);
+    void on_departure_notice(const std::string& target_id, std::int64_t started_at_ms);
     reply acknowledge_when_stored(mesh::lifecycle_change change);
     reply serve_readiness(net::request message);
     reply serve_metrics(net::request message);
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -105,6 +105,11 @@
             },
             &render_error);
     };
+    data_.on_departure([this](const std::string& target_id, std::int64_t started_at_ms) {
+        asio::post(context_, [this, target_id, started_at_ms] {
+            on_departure_notice(target_id, started_at_ms);
+        });
+    });
     control_server_ = listener(settings.control, &control_worker::serve_target);
     readiness_server_ = listener(settings.ready, &control_worker::serve_readiness);
     metrics_server_ = listener(settings.metrics, &control_worker::serve_metrics);
@@ -333,6 +338,16 @@
     co_return co_await acknowledge_when_stored(change);
 }
 
+void control_worker::on_departure_notice(const std::string& target_id, std::int64_t started_at_ms) {
+    const auto change = target_.on_departure_notice(target_id, started_at_ms);
+    log_line(
+        severity::info, "target said in an answer that it leaves",
+        {{"target", target_id}, {"born_ms", started_at_ms}, {"state", to_string(target_.state())}});
+    if (change != mesh::lifecycle_change::none) {
+        apply_target();
+    }
+}
+
 control_worker::reply control_worker::acknowledge_when_stored(mesh::lifecycle_change change) {
     const bool is_departure =
         change == mesh::lifecycle_change::leaving || change == mesh::lifecycle_change::gone;
--- a/libs/mesh/include/lavenderhoist/mesh/target_lifecycle.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/target_lifecycle.hpp
@@ -39,6 +39,9 @@
      */
     lifecycle_change on_sign_off(const std::string& id, std::optional<std::int64_t> started_at_ms);
 
+    /** \brief A start has said in an answer to a request that it leaves. */
+    lifecycle_change on_departure_notice(const std::string& id, std::int64_t started_at_ms);
+
     /** \brief The newest known start; null if there is none. A start that signed off before it was
      * announced has neither service nor address. */
     const announcement* current() const noexcept { return current_ ? &*current_ : nullptr; }
--- a/libs/mesh/src/target_lifecycle.cpp
+++ b/libs/mesh/src/target_lifecycle.cpp
@@ -111,4 +111,15 @@
     return lifecycle_change::gone;
 }
 
+lifecycle_change target_lifecycle::on_departure_notice(const std::string& id,
+                                                       std::int64_t started_at_ms) {
+    const bool is_current =
+        current_ && current_->id == id && current_->started_at_ms == started_at_ms;
+    if (!is_current || state_ != target_state::ready) {
+        return lifecycle_change::none; // has been replaced, or its departure is known
+    }
+    state_ = target_state::leaving;
+    return lifecycle_change::leaving;
+}
+
 } // namespace lavenderhoist::mesh
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -52,6 +52,14 @@
      * longer accepts requests; running ones continue. */
     void set_target(const std::optional<target_settings>& target);
 
+    /** \brief Called when the target has said in an answer that it leaves, with its id and start.
+     */
+    using departure_handler =
+        std::function<void(const std::string& target_id, std::int64_t started_at_ms)>;
+
+    /** \brief Sets the handler; from that answer on requests are refused in any case. */
+    void on_departure(departure_handler handler) { departure_handler_ = std::move(handler); }
+
     /** \brief Refuses further requests as not run; those queued and running continue. */
     void refuse_new_requests() noexcept { refusing_ = true; }
 
@@ -117,6 +125,9 @@
     void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
     void on_notice(const job& job, const target_notice& notice);
+    bool is_accepting() const noexcept {
+        return target_ && target_->is_accepting && !has_said_leaving_ && !refusing_;
+    }
     void apply_rate_limit();
     void schedule_rate_time();
     std::optional<admission::priority> level_below(const std::string& route) const;
@@ -141,6 +152,8 @@
     load_log load_log_;
     target_notice notice_; ///< The last one in an answer of the target.
     announced_limit announced_limit_;
+    bool has_said_leaving_{false}; ///< The current start of the target; final.
+    departure_handler departure_handler_;
     std::optional<double> applied_rate_limit_; ///< The limit that the controller knows.
     std::optional<net::deadline_queue::handle> rate_time_;
     std::uint64_t logged_sent_requests_{0};
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -240,6 +240,10 @@
     });
 }
 
+void data_worker::on_departure(target_port::departure_handler handler) {
+    implementation_->local_target.on_departure(std::move(handler));
+}
+
 void data_worker::set_shared_state(encoded_state state) {
     asio::post(implementation_->context, [this, state = std::move(state)]() mutable {
         implementation_->control_state = std::move(state);
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -77,6 +77,7 @@
     if (!is_same_start) { // what a target says of itself does not bind its successor
         notice_ = {};
         announced_limit_ = {};
+        has_said_leaving_ = false;
         apply_rate_limit();
     }
     if (!is_same) {
@@ -118,6 +119,7 @@
     const auto below = level_below(route).value_or(admission::open_level);
     load_report target_load{controller_->limit(), busy, std::max(controller_->level(), below),
                             controller_->service_time()};
+    target_load.is_leaving = has_said_leaving_;
     target_load.rate_limit = controller_->rate_limit();
     target_load.rate_backlog = controller_->rate_backlog(runtime_clock::now());
     if (known == routes_.end()) {
@@ -140,7 +142,7 @@
     errc cause = errc::ok;
     if (!target_ || target_->service != request.service) {
         cause = errc::no_target;
-    } else if (!target_->is_accepting || refusing_) {
+    } else if (!is_accepting()) {
         cause = errc::draining;
     } else if (now < down_until_) {
         cause = errc::target_lost;
@@ -383,6 +385,12 @@
 void target_port::on_notice(const job& job, const target_notice& notice) {
     announced_limit_.on_answer(notice, job.sent_at, runtime_clock::now());
     apply_rate_limit();
+    if (notice.is_leaving && !std::exchange(has_said_leaving_, true)) {
+        refuse_waiting(errc::draining);
+        if (departure_handler_) {
+            departure_handler_(target_->id, target_->started_at_ms);
+        }
+    }
     if (notice == notice_) {
         return;
     }
