A new start of a target under the same id begins cold

A target that crashed and came back under its id and address while it is slow after its start got all of its slots at once, the limits of its routes, and idle connections of the start before: the node compared id and address only. The start time is compared as well now; requests that wait go to the new start.

target_port_test.a_new_start_under_the_same_id_begins_cold failed before (94 of 100 slots at the start, bound 50); the other tests of that file guard the hints and limits of starts.

--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -60,12 +60,12 @@
     const bool is_same_start = is_same && target_->started_at_ms == target->started_at_ms;
     const bool took_work = target_ && target_->is_accepting;
     target_ = target;
-    if (!is_same) {
+    if (!is_same_start) {
         close_idle_links();
         down_until_ = {};
-        if (controller_) {
-            refuse_waiting(errc::no_target);
-        }
+    }
+    if (!is_same && controller_) {
+        refuse_waiting(errc::no_target);
     }
     if (!target_) {
         return;
@@ -79,13 +79,11 @@
         announced_limit_ = {};
         has_said_leaving_ = false;
         apply_rate_limit();
-    }
-    if (!is_same) {
         routes_.clear();
     }
-    if (!is_same && target_->cold_start_left.count() > 0) {
+    if (!is_same_start && target_->cold_start_left.count() > 0) {
         controller_->on_restart(target_->cold_start_left);
-    } else if (!is_same) {
+    } else if (!is_same_start) {
         controller_->assume_warm(); // the target was running before this node started
     }
     if (took_work && !target_->is_accepting) {
