Entries rely on their part of a target's rate limit only

Cause: an entry's last report of the target is some hundred milliseconds old, and each of 15 entries took the whole rate to have covered the backlog in the meantime. Each takes one part of the rate for covered now, as many as there are nodes; the next answer or the choice of the least loaded target corrects it.

--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -57,6 +57,9 @@
 
     void on_sent() noexcept;
 
+    /** \brief Sets how many entries may send to the target, this one included; at least 1. */
+    void set_entries(std::size_t count) noexcept { entries_ = count; }
+
     /** \brief The admission level for requests of a route, as last reported; open if unknown. */
     admission::priority level(const std::string& route, time_point now) const;
 
@@ -96,6 +99,7 @@
     load_report last_report_;
     time_point last_report_at_{};
     int sent_since_report_{0};
+    std::size_t entries_{1};
     bool is_leaving_{false};
 };
 
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -108,6 +108,9 @@
     }
     for (auto& [name, service] : services_) {
         service.targets = std::move(next[name]);
+        for (const auto& target : service.targets) {
+            target->set_entries(hosts_->size());
+        }
     }
 }
 
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -46,7 +46,8 @@
         return 0;
     }
     const auto age = std::chrono::duration<double>(report_age(now)).count();
-    const double covered = *last_report_.rate_limit * age;
+    // The other entries send too: if each relied on the whole rate, they would fill the queue.
+    const double covered = *last_report_.rate_limit * age / static_cast<double>(entries_);
     const double backlog = last_report_.rate_backlog + sent_since_report_ - covered;
     return std::max(0.0, backlog) / std::max(1.0, *last_report_.rate_limit * rate_period_s);
 }
--- a/libs/relay/test/known_target_test.cpp
+++ b/libs/relay/test/known_target_test.cpp
@@ -122,6 +122,20 @@
     EXPECT_GE(target->option(route, start + milliseconds(300)).load, 0.9);
 }
 
+// The load pattern: one of two targets is limited, and each of fifteen entries, whose reports are
+// some hundred milliseconds old, relied on the limit to have covered the backlog since: 17 requests
+// waited for half a second while the other target was idle.
+TEST(known_target, an_entry_relies_on_its_part_of_the_rate_only) {
+    const auto target = ready_target();
+    target->set_entries(15);
+    load_report report{192, 23, admission::open_level, milliseconds(180)};
+    report.rate_limit = 30.8;
+    report.rate_backlog = 17;
+    target->on_report(route, report, start);
+    EXPECT_GE(target->option(route, start + milliseconds(500)).load,
+              mesh::placement::max_preferred_load);
+}
+
 TEST(known_target, what_a_target_said_of_itself_outlives_a_new_record_of_its_host) {
     const auto older = ready_target();
     load_report report{10, 0, admission::open_level, milliseconds(5)};
