Callers are identified by their keys; targets get the organisation, not the key

A configuration with organisations makes entries ask for a key, except on open routes and for the calls of the local target, which carry none; the holder's name replaces the key, and its rank goes before the route's. Limits on an organisation's requests are not built.

--- a/libs/mesh/include/lavenderhoist/mesh.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh.hpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/mesh/caller_limits.hpp"
 #include "lavenderhoist/mesh/directory.hpp"
 #include "lavenderhoist/mesh/host_record.hpp"
+#include "lavenderhoist/mesh/organisation.hpp"
 #include "lavenderhoist/mesh/placement.hpp"
 #include "lavenderhoist/mesh/record_position.hpp"
 #include "lavenderhoist/mesh/route.hpp"
--- /dev/null
+++ b/libs/mesh/include/lavenderhoist/mesh/organisation.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderhoist::mesh {
+
+/** \brief An organisation whose callers identify themselves with keys. */
+struct organisation {
+    std::string name;
+    std::vector<std::string> keys;
+    std::optional<int> rank; ///< Importance of its requests; that of their routes if unset.
+};
+
+} // namespace lavenderhoist::mesh
--- a/libs/mesh/include/lavenderhoist/mesh/route.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/route.hpp
@@ -24,6 +24,7 @@
     duration timeout{0};    ///< Time until the request fails if it is not answered.
     duration objective{0};  ///< Response time objective.
     bool idempotent{false}; ///< The request may be executed more than once.
+    bool is_open{false};    ///< Its callers need no key.
 };
 
 } // namespace lavenderhoist::mesh
--- a/libs/mesh/include/lavenderhoist/mesh/routing_table.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/routing_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/mesh/caller_limits.hpp"
+#include "lavenderhoist/mesh/organisation.hpp"
 #include "lavenderhoist/mesh/route.hpp"
 #include "lavenderhoist/mesh/service_rules.hpp"
 
@@ -18,7 +19,8 @@
 class routing_table {
 public:
     routing_table(std::uint64_t version, caller_limits limits, std::vector<route> routes,
-                  std::vector<service_rules> services);
+                  std::vector<service_rules> services,
+                  std::vector<organisation> organisations = {});
 
     std::uint64_t version() const noexcept { return version_; }
     const caller_limits& limits() const noexcept { return limits_; }
@@ -29,6 +31,12 @@
     /** \returns the rules of a service, or null. */
     const service_rules* find_service(std::string_view name) const;
 
+    /** \brief True if callers need a key, except on open routes. */
+    bool requires_keys() const noexcept { return !organisations_.empty(); }
+
+    /** \returns the organisation that holds the key, or null. */
+    const organisation* find_holder(std::string_view key) const;
+
     std::size_t size() const noexcept { return routes_.size(); }
 
 private:
@@ -38,8 +46,10 @@
     caller_limits limits_;
     std::vector<route> routes_;
     std::vector<service_rules> services_;
+    std::vector<organisation> organisations_;
     std::unordered_map<std::string_view, prefix_map> by_host_; ///< Views into routes_.
     std::unordered_map<std::string_view, const service_rules*> by_service_;
+    std::unordered_map<std::string_view, const organisation*> by_key_;
 };
 
 using routing_table_ptr = std::shared_ptr<const routing_table>;
--- a/libs/mesh/src/routing_table.cpp
+++ b/libs/mesh/src/routing_table.cpp
@@ -5,17 +5,29 @@
 namespace lavenderhoist::mesh {
 
 routing_table::routing_table(std::uint64_t version, caller_limits limits, std::vector<route> routes,
-                             std::vector<service_rules> services)
+                             std::vector<service_rules> services,
+                             std::vector<organisation> organisations)
     : version_(version),
       limits_(limits),
       routes_(std::move(routes)),
-      services_(std::move(services)) {
+      services_(std::move(services)),
+      organisations_(std::move(organisations)) {
     for (const auto& entry : routes_) {
         by_host_[entry.host].emplace(entry.prefix, &entry);
     }
     for (const auto& entry : services_) {
         by_service_.emplace(entry.name, &entry);
     }
+    for (const auto& holder : organisations_) {
+        for (const auto& key : holder.keys) {
+            by_key_.emplace(key, &holder);
+        }
+    }
+}
+
+const organisation* routing_table::find_holder(std::string_view key) const {
+    const auto found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : found->second;
 }
 
 const route* routing_table::find(std::string_view host, std::string_view path) const {
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -92,6 +92,9 @@
     void rebuild_targets();
     mesh::distance distance_to(const mesh::host_record& record) const;
     pending_ptr accept(const std::shared_ptr<net::http_session>& session, net::request message);
+    const mesh::organisation* find_holder(const net::request& message) const;
+    void refuse_without_key(const std::shared_ptr<net::http_session>& session,
+                            const std::string& id, const net::request& message);
     admission::priority service_level(const std::string& route, const std::string& service,
                                       time_point now) const;
     void record_call(const std::string& parent_route, const pending& call);
--- a/libs/relay/include/lavenderhoist/relay/wire_names.hpp
+++ b/libs/relay/include/lavenderhoist/relay/wire_names.hpp
@@ -12,6 +12,7 @@
     std::string target_id;    ///< The target that a request is meant for.
     std::string not_executed; ///< In an answer: set if the target has not run the request.
     std::string caller;       ///< The service on whose host the request entered.
+    std::string organisation; ///< The organisation whose key the caller has sent.
     std::string rate_limit;   ///< In an answer: requests per second that the target accepts.
     std::string leaving;      ///< In an answer: set if the target is about to stop.
 
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -11,12 +11,17 @@
 namespace {
 
 constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 /** Retry delay for callers of a node that has no configuration yet. */
 constexpr duration no_configuration_retry_after = std::chrono::milliseconds(300);
 
+/** Callers send their key in this field, after the scheme (RFC 6750). */
+constexpr std::string_view key_field = "authorization";
+constexpr std::string_view key_scheme = "Bearer ";
+
 /** Log lines a second about single requests, as a sample; bounded under load. */
 constexpr double failure_lines_per_second = 10;
 constexpr double success_lines_per_second = 0.5;
@@ -186,18 +191,51 @@
         answer_error(session, id, status_unavailable, "draining", default_retry_after);
         return nullptr;
     }
-    request.importance = parent != nullptr ? parent->importance
-                                           : admission::make_priority(route->rank, stable_hash(id));
+    const auto* const holder = find_holder(message);
+    const bool needs_key = table_->requires_keys() && !route->is_open && parent == nullptr;
+    if (needs_key && holder == nullptr) {
+        refuse_without_key(session, id, message);
+        return nullptr;
+    }
+    const int rank = holder != nullptr ? holder->rank.value_or(route->rank) : route->rank;
+    request.importance =
+        parent != nullptr ? parent->importance : admission::make_priority(rank, stable_hash(id));
     made->plan = attempt_plan(route->max_attempts, route->idempotent);
-    std::erase_if(message.fields, [this](const net::header& field) {
+    const bool hides_key = table_->requires_keys();
+    std::erase_if(message.fields, [this, hides_key](const net::header& field) {
         return field.name == names_.request_id || field.name == names_.time_left_ms ||
                field.name == names_.target_id || field.name == names_.caller ||
+               field.name == names_.organisation || (hides_key && field.name == key_field) ||
                field.name.starts_with("lh-");
     });
+    if (holder != nullptr && parent == nullptr) {
+        message.fields.push_back({names_.organisation, holder->name});
+    }
     request.message = std::move(message);
     return made;
 }
 
+const mesh::organisation* entry::find_holder(const net::request& message) const {
+    const auto sent = net::find_header(message.fields, key_field);
+    if (!sent.starts_with(key_scheme)) {
+        return nullptr;
+    }
+    return table_->find_holder(sent.substr(key_scheme.size()));
+}
+
+void entry::refuse_without_key(const std::shared_ptr<net::http_session>& session,
+                               const std::string& id, const net::request& message) {
+    const bool has_key = !net::find_header(message.fields, key_field).empty();
+    if (!has_key && !parent_of(id).empty()) {
+        // A nested call, which carries no key, of a request that has ended here.
+        answer_error(session, id, status_unavailable, "parent has ended", duration(0));
+        return;
+    }
+    counters_.count("callers_without_key");
+    answer_error(session, id, status_unauthorized, has_key ? "unknown key" : "key missing",
+                 duration(0));
+}
+
 void entry::serve(const std::shared_ptr<net::http_session>& session, net::request message) {
     refresh();
     const auto request = accept(session, std::move(message));
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -34,6 +34,7 @@
         {"RouteType", route.idempotent ? "idempotent" : "non_idempotent"},
         {"TargetLatencyMs", route.timeout_ms / 2},
         {"Priority", route.priority},
+        {"AuthExempt", route.is_open},
         {"Match", {{"PathPrefix", route.prefix}}},
         {"Action", {{"Service", route.service}, {"TimeoutMs", route.timeout_ms}, {"Attempts", 2}}}};
 }
@@ -171,7 +172,7 @@
     for (const auto& each : services) {
         clusters.push_back({{"Name", each}, {"HealthPath", "/health"}, {"MaxConnections", 100}});
     }
-    const json::object document{
+    json::object document{
         {"Version", hexadecimal(++version_)},
         {"Limits",
          {{"MaxHeaderBytes", 16'384},
@@ -180,6 +181,14 @@
           {"IdleTimeoutMs", 5'000}}},
         {"Listeners", json::array{json::object{{"Host", host_name}, {"Rules", std::move(rules)}}}},
         {"Clusters", std::move(clusters)}};
+    json::array tenants;
+    for (const auto& each : organisations_) {
+        json::array keys(each.keys.begin(), each.keys.end());
+        tenants.push_back({{"Name", each.name}, {"ApiKeys", std::move(keys)}});
+    }
+    if (!tenants.empty()) {
+        document["Tenants"] = std::move(tenants);
+    }
     run_on_stub_thread([&] { store_->put_configuration(json::serialize(document)); });
 }
 
@@ -245,6 +254,9 @@
     message.body = body;
     message.fields.push_back({"x-request-id", id});
     message.fields.push_back({"x-deadline-ms", std::to_string(time_left_ms)});
+    if (!key_.empty()) {
+        message.fields.push_back({"authorization", "Bearer " + key_});
+    }
     return harness::call(through.callers, message,
                          milliseconds(time_left_ms) + std::chrono::seconds(1));
 }
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -47,6 +47,13 @@
     bool idempotent{true};
     int timeout_ms{2'000};
     int priority{1};
+    bool is_open{false}; ///< Callers need no key.
+};
+
+/** \brief An organisation of the configuration. */
+struct organisation_spec {
+    std::string name;
+    std::vector<std::string> keys;
 };
 
 /**
@@ -70,6 +77,14 @@
     /** \brief Publishes the routes as the next version. */
     void publish(const std::vector<route_spec>& routes);
 
+    /** \brief Sets the organisations of all further versions. */
+    void set_organisations(std::vector<organisation_spec> organisations) {
+        organisations_ = std::move(organisations);
+    }
+
+    /** \brief Sets the key that further requests carry; none if empty. */
+    void set_key(std::string key) { key_ = std::move(key); }
+
     /** \brief Waits until every node is ready and a request reaches each service of the routes. */
     bool wait_until_ready(duration timeout = std::chrono::seconds(10));
 
@@ -129,6 +144,8 @@
     std::unique_ptr<platform::stub_store> store_;
     std::vector<std::unique_ptr<host>> hosts_;
     std::vector<route_spec> routes_;
+    std::vector<organisation_spec> organisations_;
+    std::string key_;
     int version_{0};
     int last_id_{0};
 };
