Soak: targets name limits, and what they get is checked

Targets name 3 to 10 requests a second for up to six seconds, beside the other faults; none may get more than the users' bound in any four seconds.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -17,6 +17,14 @@
 constexpr int max_pause_between_faults_ms = 350;
 constexpr int max_fault_ms = 1'200;
 constexpr int max_process_pause_ms = 800;
+constexpr int max_rate_period_ms = 6'000;
+constexpr int min_rate = 3; // requests per second
+constexpr int rate_range = 8;
+
+/** Time for a node to hear of a limit, with frozen processes and slow paths beside. */
+constexpr duration notice_time = std::chrono::seconds(3);
+constexpr duration rate_window = std::chrono::seconds(4);
+
 constexpr duration step = milliseconds(20);
 constexpr duration shutdown_timeout = std::chrono::seconds(7);
 
@@ -176,8 +184,12 @@
 }
 
 void fault_plan::inject_target_fault(host& victim) {
-    const int kind = draw(3);
+    const int kind = draw(4);
     record_fault("target " + std::to_string(kind), &victim);
+    if (kind == 3) {
+        inject_rate_limit(victim);
+        return;
+    }
     world_.run_on_stub_thread([&] {
         auto& faults = victim.target->injected_faults();
         faults.sheds = kind == 0;
@@ -185,8 +197,58 @@
         faults.status = kind == 2 ? 500 : 200;
     });
     schedule_lift(max_fault_ms, [this, &victim] {
-        world_.run_on_stub_thread([&victim] { victim.target->injected_faults() = {}; });
+        world_.run_on_stub_thread([&victim] {
+            auto& faults = victim.target->injected_faults();
+            faults.sheds = false;
+            faults.hangs = false;
+            faults.status = 200;
+        });
+    });
+}
+
+void fault_plan::inject_rate_limit(host& victim) {
+    const auto is_open = [&victim](const rate_period& each) {
+        return each.victim == &victim && each.to == time_point::max();
+    };
+    if (std::ranges::any_of(rate_periods_, is_open)) {
+        return;
+    }
+    const int per_second = min_rate + draw(rate_range);
+    world_.run_on_stub_thread(
+        [&] { victim.target->injected_faults().rate_limit = std::to_string(per_second); });
+    rate_periods_.push_back({&victim, per_second, runtime_clock::now()});
+    schedule_lift(max_rate_period_ms, [this, &victim, is_open] {
+        world_.run_on_stub_thread([&victim] { victim.target->injected_faults().rate_limit = {}; });
+        std::ranges::find_if(rate_periods_, is_open)->to = runtime_clock::now();
     });
 }
 
+std::vector<std::string> fault_plan::find_excess() {
+    constexpr double tolerance = 1.5; // the users' bound: half more than the limit, and five
+    constexpr double margin = 5;
+    std::vector<std::string> found;
+    for (const auto& period : rate_periods_) {
+        const auto runs =
+            world_.run_on_stub_thread([&] { return period.victim->target->executions(); });
+        int most = 0;
+        for (const auto& first : runs) {
+            const auto until = std::min(period.to, first.started_at + rate_window);
+            if (first.started_at < period.from + notice_time || first.started_at > period.to) {
+                continue;
+            }
+            most =
+                std::max(most, static_cast<int>(std::ranges::count_if(runs, [&](const auto& each) {
+                             return each.started_at >= first.started_at && each.started_at < until;
+                         })));
+        }
+        const double window_s = std::chrono::duration<double>(rate_window).count();
+        if (most > tolerance * period.per_second * window_s + margin) {
+            found.push_back(period.victim->id + "'s target got " + std::to_string(most) +
+                            " requests in four seconds, limit " +
+                            std::to_string(period.per_second) + " a second");
+        }
+    }
+    return found;
+}
+
 } // namespace lavenderhoist::soak
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -25,6 +25,10 @@
     /** \brief Nodes that exited in a way that no injected signal explains. */
     const std::vector<std::string>& unexplained_ends() const noexcept { return unexplained_; }
 
+    /** \brief Targets that got more requests than the limits that they named allow. To be called
+     * after run(). */
+    std::vector<std::string> find_excess();
+
     /** \brief The injected faults in order, for failure reports. */
     const std::vector<std::string>& history() const noexcept { return history_; }
 
@@ -34,11 +38,20 @@
         std::function<void()> lift;
     };
 
+    /** A target named a limit from `from` to `to`. */
+    struct rate_period {
+        const platform_test::host* victim;
+        int per_second;
+        time_point from;
+        time_point to{time_point::max()};
+    };
+
     void inject();
     void inject_signal(platform_test::host& victim);
     void inject_path_fault(platform_test::host& victim);
     void inject_store_fault();
     void inject_target_fault(platform_test::host& victim);
+    void inject_rate_limit(platform_test::host& victim);
     void lift_due(time_point now);
     void schedule_lift(int max_delay_ms, std::function<void()> lift);
     void restart_ended();
@@ -48,6 +61,7 @@
     platform_test::world& world_;
     std::mt19937_64 random_;
     std::vector<pending_lift> lifts_;
+    std::vector<rate_period> rate_periods_;
     std::vector<std::string> unexplained_;
     std::vector<std::string> history_;
     std::set<const platform_test::host*> terminated_; ///< Received SIGTERM and must exit with 0.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -42,6 +42,8 @@
     const bool has_recovered = world.wait_until_ready(recovery_timeout);
     callers.stop();
     auto violations = callers.find_violations();
+    const auto excess = faults.find_excess();
+    violations.insert(violations.end(), excess.begin(), excess.end());
     violations.insert(violations.end(), faults.unexplained_ends().begin(),
                       faults.unexplained_ends().end());
     if (!has_recovered) {
