--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -105,7 +105,7 @@
             },
             &render_error);
     };
-    data_.on_departure([this](const std::string& target_id, std::int64_t started_at_ms) {
+    data_.set_departure_handler([this](const std::string& target_id, std::int64_t started_at_ms) {
         asio::post(context_, [this, target_id, started_at_ms] {
             on_departure_notice(target_id, started_at_ms);
         });
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -53,7 +53,7 @@
 
     /** \brief Sets what is called, on the data thread, when the local target has said in an answer
      * that it leaves. To be called before start(). */
-    void on_departure(target_port::departure_handler handler);
+    void set_departure_handler(target_port::departure_handler handler);
 
     /** \brief Replaces what state_path and versions_path serve. */
     void set_shared_state(encoded_state state);
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -57,8 +57,10 @@
     using departure_handler =
         std::function<void(const std::string& target_id, std::int64_t started_at_ms)>;
 
-    /** \brief Sets the handler; from that answer on requests are refused in any case. */
-    void on_departure(departure_handler handler) { departure_handler_ = std::move(handler); }
+    /** \brief Sets the handler. From that answer on requests are refused with or without it. */
+    void set_departure_handler(departure_handler handler) {
+        departure_handler_ = std::move(handler);
+    }
 
     /** \brief Refuses further requests as not run; those queued and running continue. */
     void refuse_new_requests() noexcept { refusing_ = true; }
@@ -155,7 +157,7 @@
     bool has_said_leaving_{false}; ///< The current start of the target; final.
     departure_handler departure_handler_;
     std::optional<double> applied_rate_limit_; ///< The limit that the controller knows.
-    std::optional<net::deadline_queue::handle> rate_time_;
+    std::optional<net::deadline_queue::handle> rate_timer_;
     std::uint64_t logged_sent_requests_{0};
     bool refusing_{false};
     admission::priority logged_level_{admission::open_level};
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -240,8 +240,8 @@
     });
 }
 
-void data_worker::on_departure(target_port::departure_handler handler) {
-    implementation_->local_target.on_departure(std::move(handler));
+void data_worker::set_departure_handler(target_port::departure_handler handler) {
+    implementation_->local_target.set_departure_handler(std::move(handler));
 }
 
 void data_worker::set_shared_state(encoded_state state) {
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -414,12 +414,12 @@
 
 void target_port::schedule_rate_time() {
     const auto next = controller_->next_rate_time();
-    if (rate_time_ || next == time_point::max()) {
+    if (rate_timer_ || next == time_point::max()) {
         return;
     }
     const auto when = std::max(next, runtime_clock::now() + min_rate_step);
-    rate_time_ = deadlines_.add(when, [this] {
-        rate_time_.reset();
+    rate_timer_ = deadlines_.add(when, [this] {
+        rate_timer_.reset();
         apply(controller_->on_rate_time(runtime_clock::now()));
         schedule_rate_time();
     });
