--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -1,12 +1,6 @@
 #include "lavenderhoist/relay/internal/target_job.hpp"
 
-#include "lavenderhoist/logging/log.hpp"
-
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace lavenderhoist::relay {
@@ -31,12 +25,6 @@
  * the rest covers transfer and variance. */
 constexpr int objective_percent = 85;
 
-/** Smaller changes of the admission level are not logged. */
-constexpr admission::priority logged_level_step = admission::cohorts / 4;
-
-/** Least time until the next request is started by the rate limit: several at once are cheaper. */
-constexpr duration min_rate_step = std::chrono::milliseconds(2);
-
 /** Log lines a second about requests without an answer from the target. */
 constexpr double failure_lines_per_second = 5;
 
@@ -355,116 +343,4 @@
     }
 }
 
-void target_port::log_load() {
-    auto line = load_log_.add(controller_->last_window());
-    if (!line) {
-        return;
-    }
-    (*line)["service_ms"] =
-        std::chrono::duration<double, std::milli>(controller_->service_time()).count();
-    (*line)["sent"] =
-        totals_.sent_requests - std::exchange(logged_sent_requests_, totals_.sent_requests);
-    if (notice_.rate_limit) {
-        (*line)["announced_per_second"] = *notice_.rate_limit;
-    }
-    boost::json::array routes;
-    for (const auto& [name, route] : routes_) {
-        boost::json::object one{
-            {"route", name}, {"limit", route.limit.value()}, {"at_work", route.limit.in_flight()}};
-        if (const auto below = level_below(name)) {
-            one["level_below"] = *below;
-        }
-        routes.emplace_back(std::move(one));
-    }
-    (*line)["routes"] = std::move(routes);
-    logging::log_line(logging::severity::info, "target load", std::move(*line));
-}
-
-void target_port::on_notice(const job& job, const target_notice& notice) {
-    announced_limit_.on_answer(notice, job.sent_at, runtime_clock::now());
-    apply_rate_limit();
-    if (notice.is_leaving && !std::exchange(has_said_leaving_, true)) {
-        refuse_waiting(errc::draining);
-        if (departure_handler_) {
-            departure_handler_(target_->id, target_->started_at_ms);
-        }
-    }
-    if (notice == notice_) {
-        return;
-    }
-    boost::json::object details{{"target", target_ ? target_->id : ""},
-                                {"leaving", notice.is_leaving},
-                                {"malformed_rate", notice.has_malformed_rate},
-                                {"sent_requests", totals_.sent_requests}};
-    if (notice.rate_limit) {
-        details["requests_per_second"] = *notice.rate_limit;
-    }
-    logging::log_line(logging::severity::info, "target's notice changed", std::move(details));
-    notice_ = notice;
-}
-
-void target_port::apply_rate_limit() {
-    if (!controller_ || announced_limit_.per_second() == applied_rate_limit_) {
-        return;
-    }
-    applied_rate_limit_ = announced_limit_.per_second();
-    apply(controller_->limit_rate(applied_rate_limit_, runtime_clock::now()));
-    schedule_rate_time();
-}
-
-void target_port::schedule_rate_time() {
-    const auto next = controller_->next_rate_time();
-    if (rate_timer_ || next == time_point::max()) {
-        return;
-    }
-    const auto when = std::max(next, runtime_clock::now() + min_rate_step);
-    rate_timer_ = deadlines_.add(when, [this] {
-        rate_timer_.reset();
-        apply(controller_->on_rate_time(runtime_clock::now()));
-        schedule_rate_time();
-    });
-}
-
-void target_port::log_failure(const relay_request& request, const relay_answer& answer) {
-    const auto now = runtime_clock::now();
-    if (!failure_lines_.take(now)) {
-        return;
-    }
-    boost::json::object details{
-        {"request", request.id},
-        {"route", request.route},
-        {"importance", request.importance},
-        {"under_way", request.is_nested},
-        {"cause", answer.failure.code.message()},
-        {"step", to_string(answer.failure.where)},
-        {"execution", to_string(answer.result)},
-        {"left_ms", std::chrono::duration<double, std::milli>(request.deadline - now).count()},
-        {"target", target_ ? target_->id : ""}};
-    if (controller_) {
-        details["at_work"] = controller_->in_flight();
-        details["waiting"] = controller_->waiting();
-        details["limit"] = controller_->limit();
-        details["level"] = controller_->level();
-    }
-    logging::log_line(logging::severity::warning, "no answer of the target", std::move(details));
-}
-
-void target_port::log_level() {
-    const auto level = controller_->level();
-    const bool opens = level == admission::open_level && logged_level_ != level;
-    if (!opens && std::abs(level - logged_level_) < logged_level_step) {
-        return;
-    }
-    logging::log_line(
-        logging::severity::info, "admission level moved",
-        {{"from", logged_level_},
-         {"to", level},
-         {"limit", controller_->limit()},
-         {"at_work", controller_->in_flight()},
-         {"waiting", controller_->waiting()},
-         {"service_ms",
-          std::chrono::duration<double, std::milli>(controller_->service_time()).count()}});
-    logged_level_ = level;
-}
-
 } // namespace lavenderhoist::relay
