A node logs from whom it learnt a version, and how long ago the store answered it

The line "configuration in force" names the peer, the version before and the age of the store's last answer; the metrics have that age too. No decision changes.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -59,7 +59,8 @@
 
     void on_configuration(const store_record& record);
     void on_host(const store_record& record);
-    void apply_configuration(const std::string& text, std::string_view source);
+    /** \param peer the node that it came from; empty if it came from the store. */
+    void apply_configuration(const std::string& text, std::string_view peer);
     void apply_host_record(const mesh::host_record& record, mesh::record_position position);
     void restore_local_record();
     void update_listed_hosts();
@@ -80,7 +81,8 @@
     bool is_older_than(const shared_versions& other) const;
     void update_followers();
     std::vector<net::tcp::endpoint> peer_endpoints() const;
-    void apply_shared_state(const std::string& text);
+    void apply_shared_state(const std::string& text, std::string_view peer);
+    duration store_answer_age() const;
     topic_follower::events make_events(topic which);
 
     boost::asio::io_context& context_;
--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -72,6 +72,9 @@
     /** \brief True if records are received as the store appends them. */
     bool is_reading() const noexcept { return active_ && listed_ && !store_lost_; }
 
+    /** \brief When the store last answered a call; zero if it has not. */
+    time_point last_answer_at() const noexcept { return last_answer_at_; }
+
     /** \brief True if the last call of the store failed. */
     bool is_store_lost() const noexcept { return store_lost_; }
 
@@ -100,6 +103,7 @@
     bool has_listed_{false}; ///< `era_` is known.
     bool store_lost_{false};
     int failures_{0};
+    time_point last_answer_at_{};
 };
 
 } // namespace lavenderhoist::agent
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -68,7 +68,7 @@
                             encode(versions())});
 }
 
-void control_worker::apply_shared_state(const std::string& text) {
+void control_worker::apply_shared_state(const std::string& text, std::string_view peer) {
     const auto state = decode_shared_state(text);
     if (!state) {
         return;
@@ -82,7 +82,7 @@
     }
     check_local_record_is_stored();
     if (!state->configuration.empty() && state->configuration != configuration_text_) {
-        apply_configuration(state->configuration, "node");
+        apply_configuration(state->configuration, peer);
     }
     publish_view();
 }
@@ -234,7 +234,7 @@
     const auto answer = co_await peers_.exchange(peer, request, runtime_clock::now() + peer_timeout,
                                                  peer_timeout, nullptr);
     if (!answer.code) {
-        apply_shared_state(answer.answer.body);
+        apply_shared_state(answer.answer.body, peer.address().to_string());
     }
 }
 
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -48,6 +48,10 @@
 
 constexpr std::size_t max_peer_answer_bytes = 16U << 20U;
 
+std::int64_t in_ms(duration length) {
+    return std::chrono::duration_cast<milliseconds>(length).count();
+}
+
 net::response make_text_response(int status, std::string text) {
     net::response message;
     message.status = status;
@@ -167,28 +171,40 @@
 
 void control_worker::on_configuration(const store_record& record) {
     if (record.key == codec_.configuration_key() && !record.value.empty()) {
-        apply_configuration(record.value, "store");
+        apply_configuration(record.value, {});
     }
 }
 
-void control_worker::apply_configuration(const std::string& text, std::string_view source) {
+void control_worker::apply_configuration(const std::string& text, std::string_view peer) {
+    const std::string_view source = peer.empty() ? "store" : "node";
     const auto parsed = codec_.parse_configuration(text);
     if (const auto* const error = std::get_if<configuration_error>(&parsed)) {
         log_line(severity::error, "configuration rejected",
-                 {{"source", source}, {"reason", error->reason}});
+                 {{"source", source}, {"peer", peer}, {"reason", error->reason}});
         return;
     }
     const auto& table = std::get<mesh::routing_table_ptr>(parsed);
     if (table_ && table->version() <= table_->version()) {
         return;
     }
+    const auto previous = table_ ? table_->version() : 0;
     table_ = table;
     configuration_text_ = text;
     log_line(severity::info, "configuration in force",
-             {{"version", table->version()}, {"routes", table->size()}, {"source", source}});
+             {{"version", table->version()},
+              {"previous", previous},
+              {"routes", table->size()},
+              {"source", source},
+              {"peer", peer},
+              {"reads_store", configuration_follower_.is_reading()},
+              {"store_answer_age_ms", in_ms(store_answer_age())}});
     publish_view();
 }
 
+duration control_worker::store_answer_age() const {
+    return runtime_clock::now() - std::max(started_at_, configuration_follower_.last_answer_at());
+}
+
 void control_worker::on_host(const store_record& record) {
     if (record.value.empty()) {
         return;
@@ -421,7 +437,8 @@
     co_await done->wait(runtime_clock::now() + metrics_timeout);
     *text += "hosts_known " + std::to_string(directory_.hosts().size()) + "\nstore_calls " +
              std::to_string(store_.calls()) + "\nconfiguration_version " +
-             std::to_string(table_ ? table_->version() : 0) + '\n';
+             std::to_string(table_ ? table_->version() : 0) + "\nstore_answer_age_ms " +
+             std::to_string(in_ms(store_answer_age())) + '\n';
     co_return make_text_response(status_ok, *text);
 }
 
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -143,6 +143,7 @@
 }
 
 void topic_follower::on_answer() {
+    last_answer_at_ = runtime_clock::now();
     failures_ = 0;
     if (std::exchange(store_lost_, false)) {
         handlers_.on_store_regained();
