Tests that fail: versions in silence, requests that end their targets

The processes that tests start inherited the sockets of the stand-ins: a listener or a connection that a stand-in closed stayed open in a node. They are closed now.

--- a/libs/harness/src/process.cpp
+++ b/libs/harness/src/process.cpp
@@ -37,6 +37,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, output_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Inherited sockets would keep listeners and connections of the parent open.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failed =
         posix_spawn(&id_, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/platform/fault_proxy.hpp
+++ b/tests/platform/fault_proxy.hpp
@@ -35,6 +35,18 @@
     /** \brief Resets every open connection. */
     void reset_all();
 
+    /** \brief From now on no byte passes on the connections that are open; new ones work. */
+    void silence_open();
+
+    /** \brief Refuses further connections and resets the open ones, as if the server's process had
+     * ended. */
+    void close_listener();
+
+    bool is_listening() const noexcept { return acceptor_.is_open(); }
+
+    /** \brief Accepts connections again after close_listener(). */
+    void reopen_listener();
+
 private:
     struct connection_pair;
     using pair_ptr = std::shared_ptr<connection_pair>;
@@ -45,6 +57,7 @@
     boost::asio::awaitable<void> send_endless_answer(pair_ptr connection);
 
     boost::asio::io_context& context_;
+    net::tcp::endpoint listen_;
     net::tcp::acceptor acceptor_;
     net::tcp::endpoint server_;
     proxy_mode mode_{proxy_mode::pass};
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -1,6 +1,7 @@
 #include "world.hpp"
 
 #include "lavenderhoist/harness/http.hpp"
+#include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 
 #include <boost/json.hpp>
@@ -39,12 +40,22 @@
         {"Action", {{"Service", route.service}, {"TimeoutMs", route.timeout_ms}, {"Attempts", 2}}}};
 }
 
+boost::asio::awaitable<void> call_after(boost::asio::any_io_executor executor, duration delay,
+                                        std::function<void()> work) {
+    co_await net::sleep_for(std::move(executor), delay);
+    work();
+}
+
 boost::asio::awaitable<void> complete(boost::asio::awaitable<int> work, std::promise<int>& done) {
     done.set_value(co_await std::move(work));
 }
 
 } // namespace
 
+void world::after(duration delay, std::function<void()> work) {
+    net::spawn(context_, call_after(context_.get_executor(), delay, std::move(work)));
+}
+
 bool wait_until(const std::function<bool()>& is_met, duration timeout) {
     return harness::wait_until(is_met, timeout);
 }
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -119,6 +119,9 @@
         return done.get_future().get();
     }
 
+    /** \brief Calls `work` on the thread of the stubs after a while. */
+    void after(duration delay, std::function<void()> work);
+
     /** \brief Runs a coroutine on the thread of the stubs and waits for its result. */
     int await(const std::function<boost::asio::awaitable<int>()>& work);
 
