What a node knows of configurations has an age, and no node acts on old knowledge

Cause: a wait for records that was not answered counted as news that nothing had changed. A reader whose wait had fallen silent held itself for current for up to 21.5 s and said so to the nodes that rely on it; only a random comparison could show the opposite, and one with a node as stale as itself undid it.

Now an answer of the store says until when all is known; the age of that travels with the versions that nodes compare. A node whose knowledge is 1.4 s old reads the store itself, on a new connection; a reader whose knowledge is old is passed over where the store is reachable. The first reader of a data centre waits 0.6 s at the store. A stale peer ends no lag that another one has shown.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/agent/platform_codec.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/agent/store_client.hpp"
+#include "lavenderhoist/agent/store_knowledge.hpp"
 #include "lavenderhoist/agent/store_readers.hpp"
 #include "lavenderhoist/agent/topic_follower.hpp"
 #include "lavenderhoist/mesh/directory.hpp"
@@ -17,6 +18,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -72,6 +74,12 @@
 
     boost::asio::awaitable<void> publish_loop();
     boost::asio::awaitable<void> peer_loop();
+    boost::asio::awaitable<void> freshness_loop();
+    boost::asio::awaitable<void> list_configuration();
+    void read_stale_configuration();
+    void on_confirmed(time_point as_of);
+    void adopt_confirmation(const shared_versions& peer, time_point asked_at);
+    std::function<std::string()> versions_encoder() const;
     boost::asio::awaitable<void> fetch_shared_state(net::tcp::endpoint peer);
     boost::asio::awaitable<void> compare_with_reader(std::string reader);
     boost::asio::awaitable<void> compare_with(net::tcp::endpoint peer);
@@ -79,6 +87,7 @@
     shared_versions versions() const;
     bool is_store_lost() const noexcept;
     bool is_older_than(const shared_versions& other) const;
+    bool is_outdated_reader(const shared_versions& reader, time_point now) const;
     void update_followers();
     std::vector<net::tcp::endpoint> peer_endpoints() const;
     void apply_shared_state(const std::string& text, std::string_view peer);
@@ -101,6 +110,8 @@
     mesh::record_position read_position_; ///< All host records up to it are known.
     store_readers readers_;
     mesh::target_lifecycle target_;
+    store_knowledge configuration_knowledge_;
+    bool has_logged_stale_{false};
     time_point last_comparison_at_;
     internal::lag_detector<std::uint64_t> configuration_lag_;
     internal::lag_detector<mesh::record_position> hosts_lag_;
--- a/libs/agent/include/lavenderhoist/agent/internal/lag_detector.hpp
+++ b/libs/agent/include/lavenderhoist/agent/internal/lag_detector.hpp
@@ -10,7 +10,8 @@
  * \brief Detects that the local version has stopped advancing behind the versions of peers, as
  * opposed to a lag that is still being caught up.
  *
- * Successive comparisons may be with different peers.
+ * Successive comparisons may be with different peers: one that is as far behind does not end a lag
+ * that another one has shown.
  *
  * \tparam Version an ordered type.
  */
@@ -19,24 +20,23 @@
 public:
     /**
      * \brief Records a comparison with a peer.
-     * \param max_lag how long the local version may stay unchanged while a peer's is newer.
+     * \param max_lag how long the local version may stay unchanged once a peer's was newer.
      * \returns true if it has stayed unchanged for longer.
      */
     bool on_comparison(const Version& local_version, const Version& peer_version, duration max_lag,
                        time_point now) {
-        if (peer_version <= local_version) {
+        if (local_version != local_version_) {
+            local_version_ = local_version;
             behind_since_.reset();
-            return false;
         }
-        if (!behind_since_ || local_version != local_version_) {
-            local_version_ = local_version;
+        if (local_version < peer_version && !behind_since_) {
             behind_since_ = now;
         }
-        return now - *behind_since_ > max_lag;
+        return behind_since_ && now - *behind_since_ > max_lag;
     }
 
 private:
-    Version local_version_{};                ///< At the last comparison that found it behind.
+    Version local_version_{};                ///< At the last comparison.
     std::optional<time_point> behind_since_; ///< Since when `local_version_` is behind.
 };
 
--- a/libs/agent/include/lavenderhoist/agent/shared_state.hpp
+++ b/libs/agent/include/lavenderhoist/agent/shared_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderhoist/core/clock.hpp"
 #include "lavenderhoist/mesh/directory.hpp"
 
 #include <optional>
@@ -23,6 +24,9 @@
     std::uint64_t configuration{0};
     mesh::record_position position; ///< All host records up to it are known.
     bool reads_store{true};         ///< It receives records as the store appends them.
+    /** Age of its knowledge of configurations: how long ago the store is known to have had nothing
+     * newer. Nodes of earlier versions send none. */
+    std::optional<duration> configuration_age{};
 };
 
 std::string encode(const shared_versions& versions);
--- a/libs/agent/include/lavenderhoist/agent/store_client.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_client.hpp
@@ -28,6 +28,9 @@
      * caller resolves that by appending or reading again. */
     boost::asio::awaitable<append_result> append(topic which, const store_record& record);
 
+    /** \brief Closes the connections without a call: the next calls open new ones. */
+    void close_idle_connections() { http_.close_idle(); }
+
     /** \brief Calls made since the start. */
     std::uint64_t calls() const noexcept { return calls_; }
 
--- a/libs/agent/include/lavenderhoist/agent/store_readers.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_readers.hpp
@@ -38,8 +38,11 @@
     /** \brief True if this node would be a reader if all nodes responded and had the store. */
     bool is_first_choice() const noexcept;
 
-    /** \brief The node to compare versions with next; nothing if this node is a reader and no other
-     * one is to be tried again. */
+    /** \brief True if this node is a reader and no reader of its data centre comes before it. */
+    bool is_first_reader() const noexcept;
+
+    /** \brief The node to compare versions with next; nothing if no reader comes before this node
+     * and no other one is to be tried again. */
     std::optional<std::string> next_node(time_point now);
 
     /** \brief A node has responded. \param reads_store false if it does not read the store, or has
--- a/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
+++ b/libs/agent/include/lavenderhoist/agent/topic_follower.hpp
@@ -24,6 +24,8 @@
     struct events {
         std::function<void(const store_record&)> on_record;
         std::function<void()> on_caught_up; ///< `on_record` has been called for all known records.
+        /** All records that the store had confirmed at that moment have been received. */
+        std::function<void(time_point as_of)> on_confirmed;
         std::function<void(const std::string& reason)> on_store_lost;
         std::function<void()> on_store_regained;
         /** The store was restored from a copy, and the topic has been listed again. */
@@ -43,11 +45,18 @@
 
     duration batch_delay() const noexcept { return batch_delay_; }
 
+    /** \brief Sets for how long further reads wait at the store for a first record. */
+    void set_read_wait(duration wait) noexcept { read_wait_ = wait; }
+
+    /** A long wait: each call has a cost, and the store allows 30 s. */
+    static constexpr duration long_read_wait = std::chrono::seconds(20);
+
     /** \brief Stops or resumes reading; a topic that has not been listed yet is listed in any case.
      * Begins active. */
     void set_active(bool active);
 
-    /** \brief The pending read may have lost its connection: it is made again without a wait. */
+    /** \brief The pending read may have lost its connection: it is made again on another one,
+     * without a wait. */
     void check_connection();
 
     /** \brief Bounds of the delay between calls while the store is lost. */
@@ -75,6 +84,9 @@
     /** \brief When the store last answered a call; zero if it has not. */
     time_point last_answer_at() const noexcept { return last_answer_at_; }
 
+    /** \brief True if the topic has been listed and reads go on from there. */
+    bool is_following() const noexcept { return active_ && listed_; }
+
     /** \brief True if the last call of the store failed. */
     bool is_store_lost() const noexcept { return store_lost_; }
 
@@ -96,6 +108,7 @@
     net::timer retry_delay_;
     backoff_bounds backoff_;
     bool active_{true};
+    duration read_wait_{long_read_wait};
     bool waits_for_records_{true}; ///< False: the next read only checks the connection.
     std::int64_t era_{0};
     std::int64_t next_offset_{0};
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/agent/internal/endpoint_of.hpp"
 #include "lavenderhoist/agent/internal/host_batch_delay.hpp"
+#include "lavenderhoist/agent/internal/in_ms.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -16,6 +17,7 @@
 namespace lavenderhoist::agent {
 
 namespace asio = boost::asio;
+using internal::in_ms;
 using logging::log_line;
 using logging::severity;
 
@@ -43,6 +45,11 @@
 constexpr topic_follower::backoff_bounds substitute_backoff{std::chrono::milliseconds(800),
                                                             std::chrono::milliseconds(3'200)};
 
+/** Wait of the configuration reads of a data centre's first reader. Its answers show the other
+ * nodes that nothing has changed, so each one is a small part of the time in which a version must
+ * be in force. */
+constexpr duration first_reader_wait = std::chrono::milliseconds(600);
+
 /** Max. time between the store's responses to the long polls of different nodes for one record. */
 constexpr duration max_answer_skew = std::chrono::milliseconds(300);
 
@@ -65,7 +72,7 @@
                                 return encode_newer(
                                     *state, decode_versions(known).value_or(shared_versions{}));
                             },
-                            encode(versions())});
+                            versions_encoder()});
 }
 
 void control_worker::apply_shared_state(const std::string& text, std::string_view peer) {
@@ -118,15 +125,16 @@
         }
         if (const auto reader = table_ ? readers_.next_node(runtime_clock::now()) : std::nullopt) {
             co_await compare_with_reader(*reader);
-            continue;
         }
-        const auto peers = peer_endpoints();
-        const bool is_due = is_store_lost() || !table_ ||
-                            runtime_clock::now() - last_comparison_at_ > comparison_interval;
-        if (peers.empty() || !is_due) {
+        const auto now = runtime_clock::now();
+        const bool is_due =
+            is_store_lost() || !table_ || configuration_knowledge_.is_stale(now) ||
+            (readers_.is_reader() && now - last_comparison_at_ > comparison_interval);
+        const auto peers = is_due ? peer_endpoints() : std::vector<net::tcp::endpoint>();
+        if (peers.empty()) {
             continue;
         }
-        last_comparison_at_ = runtime_clock::now();
+        last_comparison_at_ = now;
         const auto& peer = peers[random_() % peers.size()];
         if (table_) {
             co_await compare_with(peer);
@@ -144,6 +152,8 @@
     configuration_follower_.set_backoff(readers_.is_first_choice() ? reader_backoff
                                                                    : substitute_backoff);
     hosts_follower_.set_backoff(substitute_backoff);
+    configuration_follower_.set_read_wait(
+        readers_.is_first_reader() ? first_reader_wait : topic_follower::long_read_wait);
     std::set<std::string_view> data_centres;
     for (const auto& host : *listed_hosts_) {
         data_centres.insert(host.data_centre);
@@ -169,45 +179,67 @@
     co_return answer.code ? std::nullopt : decode_versions(answer.answer.body);
 }
 
+bool control_worker::is_outdated_reader(const shared_versions& reader, time_point now) const {
+    const auto age = reader.configuration_age.value_or(duration(0));
+    // Where nobody hears of the store, others in the reader's place would not do so either.
+    const bool is_known_to_be_reachable =
+        configuration_knowledge_.age(now) < store_knowledge::max_reader_age;
+    return age > store_knowledge::max_reader_age && is_known_to_be_reachable;
+}
+
 asio::awaitable<void> control_worker::compare_with_reader(std::string reader) {
     const auto* const known = directory_.find(reader);
     if (known == nullptr) {
         co_return;
     }
     const auto endpoint = endpoint_of(known->record.call_address);
+    const auto asked_at = runtime_clock::now();
     const auto peer_versions = co_await fetch_versions(endpoint);
     const auto now = runtime_clock::now();
     const bool was_reader = readers_.is_reader();
+    const bool was_first_reader = readers_.is_first_reader();
     if (peer_versions) {
-        readers_.on_response(reader, peer_versions->reads_store, now);
+        readers_.on_response(
+            reader, peer_versions->reads_store && !is_outdated_reader(*peer_versions, now), now);
     } else {
         readers_.on_no_response(reader, now);
     }
-    if (readers_.is_reader() != was_reader) {
+    if (readers_.is_reader() != was_reader || readers_.is_first_reader() != was_first_reader) {
         log_line(severity::info, "store reader changed",
-                 {{"reads_store", !was_reader},
+                 {{"reads_store", readers_.is_reader()},
+                  {"first", readers_.is_first_reader()},
                   {"peer", reader},
-                  {"peer_responded", peer_versions.has_value()}});
+                  {"peer_responded", peer_versions.has_value()},
+                  {"peer_age_ms", peer_versions && peer_versions->configuration_age
+                                      ? in_ms(*peer_versions->configuration_age)
+                                      : -1}});
         update_followers();
         update_shared_state();
     }
-    if (peer_versions && is_older_than(*peer_versions)) {
+    if (!peer_versions) {
+        co_return;
+    }
+    if (is_older_than(*peer_versions)) {
         co_await fetch_shared_state(endpoint);
     }
+    adopt_confirmation(*peer_versions, asked_at);
 }
 
 asio::awaitable<void> control_worker::compare_with(net::tcp::endpoint peer) {
+    const auto asked_at = runtime_clock::now();
     const auto peer_versions = co_await fetch_versions(peer);
     if (!peer_versions) {
         co_return; // the peer is down or starting; the next comparison picks a peer anew
     }
-    if (is_store_lost()) {
+    const auto now = runtime_clock::now();
+    if (is_store_lost() || configuration_knowledge_.is_stale(now)) {
         if (is_older_than(*peer_versions)) {
             co_await fetch_shared_state(peer);
         }
+        adopt_confirmation(*peer_versions, asked_at);
         co_return;
     }
-    const auto now = runtime_clock::now();
+    adopt_confirmation(*peer_versions, asked_at);
     const auto local = versions();
     const bool has_stale_configuration = configuration_lag_.on_comparison(
         local.configuration, peer_versions->configuration, max_answer_skew, now);
@@ -223,7 +255,9 @@
                   {"newest_host", local.position.offset},
                   {"their_newest_host", peer_versions->position.offset}});
         (has_stale_configuration ? configuration_follower_ : hosts_follower_).check_connection();
-        co_await fetch_shared_state(peer);
+        if (is_older_than(*peer_versions)) {
+            co_await fetch_shared_state(peer);
+        }
     }
 }
 
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/agent/internal/endpoint_of.hpp"
 #include "lavenderhoist/agent/internal/host_batch_delay.hpp"
+#include "lavenderhoist/agent/internal/in_ms.hpp"
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -16,6 +17,7 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+using internal::in_ms;
 using logging::log_line;
 using logging::severity;
 
@@ -48,10 +50,6 @@
 
 constexpr std::size_t max_peer_answer_bytes = 16U << 20U;
 
-std::int64_t in_ms(duration length) {
-    return std::chrono::duration_cast<milliseconds>(length).count();
-}
-
 net::response make_text_response(int status, std::string text) {
     net::response message;
     message.status = status;
@@ -95,6 +93,7 @@
                       make_events(topic::hosts)),
       peers_(context.get_executor(), max_peer_answer_bytes),
       readers_(settings.id, settings.data_centre),
+      configuration_knowledge_(runtime_clock::now()),
       listed_hosts_(std::make_shared<std::vector<mesh::host_record>>()),
       publish_wakeup_(context.get_executor()),
       stored_wakeup_(context.get_executor()),
@@ -136,6 +135,11 @@
         }
         publish_view();
     };
+    events.on_confirmed = [this, which](time_point as_of) {
+        if (which == topic::configuration) {
+            on_confirmed(as_of);
+        }
+    };
     events.on_store_lost = [this, name](const std::string& reason) {
         log_line(severity::warning, "store lost", {{"topic", name}, {"reason", reason}});
         update_shared_state();
@@ -162,6 +166,7 @@
     net::spawn(context_, hosts_follower_.run());
     net::spawn(context_, publish_loop());
     net::spawn(context_, peer_loop());
+    net::spawn(context_, freshness_loop());
 }
 
 void control_worker::begin_shutdown() {
@@ -437,8 +442,9 @@
     co_await done->wait(runtime_clock::now() + metrics_timeout);
     *text += "hosts_known " + std::to_string(directory_.hosts().size()) + "\nstore_calls " +
              std::to_string(store_.calls()) + "\nconfiguration_version " +
-             std::to_string(table_ ? table_->version() : 0) + "\nstore_answer_age_ms " +
-             std::to_string(in_ms(store_answer_age())) + '\n';
+             std::to_string(table_ ? table_->version() : 0) + "\nconfiguration_age_ms " +
+             std::to_string(in_ms(configuration_knowledge_.age(runtime_clock::now()))) +
+             "\nstore_answer_age_ms " + std::to_string(in_ms(store_answer_age())) + '\n';
     co_return make_text_response(status_ok, *text);
 }
 
--- a/libs/agent/src/shared_state.cpp
+++ b/libs/agent/src/shared_state.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace lavenderhoist::agent {
 
 namespace json = boost::json;
@@ -14,13 +16,28 @@
     return era == nullptr ? 0 : era->to_number<std::int64_t>();
 }
 
+std::optional<duration> age_of(const json::object& from) {
+    const auto* const age = from.if_contains("configuration_age_ms");
+    if (age == nullptr) {
+        return std::nullopt;
+    }
+    constexpr milliseconds max_age = std::chrono::hours(1); // higher ones would overflow
+    return std::clamp<milliseconds>(milliseconds(age->to_number<std::int64_t>()), milliseconds(0),
+                                    max_age);
+}
+
 } // namespace
 
 std::string encode(const shared_versions& versions) {
-    return json::serialize(json::object{{"configuration", versions.configuration},
-                                        {"era", versions.position.era},
-                                        {"newest_host", versions.position.offset},
-                                        {"reads_store", versions.reads_store}});
+    json::object object{{"configuration", versions.configuration},
+                        {"era", versions.position.era},
+                        {"newest_host", versions.position.offset},
+                        {"reads_store", versions.reads_store}};
+    if (versions.configuration_age) {
+        object["configuration_age_ms"] =
+            std::chrono::ceil<milliseconds>(*versions.configuration_age).count();
+    }
+    return json::serialize(object);
 }
 
 std::optional<shared_versions> decode_versions(std::string_view text) {
@@ -30,7 +47,8 @@
         const auto* const reads_store = object.if_contains("reads_store");
         return shared_versions{object.at("configuration").to_number<std::uint64_t>(),
                                {era_of(object), object.at("newest_host").to_number<std::int64_t>()},
-                               reads_store == nullptr || reads_store->as_bool()};
+                               reads_store == nullptr || reads_store->as_bool(),
+                               age_of(object)};
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/libs/agent/src/store_client.cpp
+++ b/libs/agent/src/store_client.cpp
@@ -1,5 +1,7 @@
 #include "lavenderhoist/agent/store_client.hpp"
 
+#include "lavenderhoist/core/error.hpp"
+
 #include <iterator>
 #include <utility>
 
@@ -27,8 +29,12 @@
                                                              duration timeout,
                                                              net::cancellation_ptr cancelled) {
     ++calls_;
-    co_return co_await http_.exchange(message, runtime_clock::now() + timeout,
-                                      std::move(cancelled));
+    auto result =
+        co_await http_.exchange(message, runtime_clock::now() + timeout, std::move(cancelled));
+    if (result.code == errc::deadline_passed) {
+        http_.close_idle(); // what silenced one connection may have silenced the others
+    }
+    co_return result;
 }
 
 asio::awaitable<read_result> store_client::list_newest(topic which) {
--- a/libs/agent/src/store_readers.cpp
+++ b/libs/agent/src/store_readers.cpp
@@ -45,6 +45,10 @@
            static_cast<std::ptrdiff_t>(readers_per_data_centre);
 }
 
+bool store_readers::is_first_reader() const noexcept {
+    return std::ranges::count(preceding_, 0, &preceding_node::failures) == 0;
+}
+
 bool store_readers::is_first_choice() const noexcept {
     return preceding_.size() < readers_per_data_centre;
 }
@@ -55,15 +59,15 @@
             return each.id;
         }
     }
-    if (is_reader()) {
-        return std::nullopt;
-    }
     std::vector<const preceding_node*> readers;
     for (const auto& each : preceding_) {
         if (each.failures == 0 && readers.size() < readers_per_data_centre) {
             readers.push_back(&each);
         }
     }
+    if (readers.empty()) {
+        return std::nullopt;
+    }
     return readers.at(++turn_ % readers.size())->id;
 }
 
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -17,10 +17,6 @@
 constexpr topic_follower::backoff_bounds default_backoff{std::chrono::milliseconds(50),
                                                          std::chrono::milliseconds(800)};
 
-/** Length of a long poll: long, since each call has a cost, and well below the 30 s that the store
- * allows. */
-constexpr duration read_wait = std::chrono::seconds(20);
-
 } // namespace
 
 topic_follower::topic_follower(asio::any_io_executor executor, store_client& store, topic which,
@@ -65,6 +61,7 @@
 
 void topic_follower::check_connection() {
     waits_for_records_ = false;
+    store_.close_idle_connections(); // these may have fallen silent as well
     cancel_pending_read();
 }
 
@@ -75,6 +72,7 @@
 }
 
 asio::awaitable<void> topic_follower::list() {
+    const auto asked_at = runtime_clock::now();
     const auto result = co_await store_.list_newest(which_);
     const auto* const batch = std::get_if<record_batch>(&result);
     if (batch == nullptr) {
@@ -97,12 +95,14 @@
         handlers_.on_record(record);
     }
     handlers_.on_caught_up();
+    handlers_.on_confirmed(asked_at);
 }
 
 asio::awaitable<void> topic_follower::follow() {
     pending_read_ = std::make_shared<net::cancellation>();
     // After a failure, a long poll would not tell whether the store is back until a record arrives.
-    const duration wait = store_lost_ || !waits_for_records_ ? duration(0) : read_wait;
+    const duration wait = store_lost_ || !waits_for_records_ ? duration(0) : read_wait_;
+    const auto asked_at = runtime_clock::now();
     const auto result = co_await store_.read(which_, next_offset_, wait, pending_read_);
     if (std::exchange(pending_read_, nullptr)->is_cancelled()) {
         co_return;
@@ -128,8 +128,12 @@
     for (const auto& record : batch->records) {
         handlers_.on_record(record);
     }
+    const bool was_full_wait = batch->records.empty() && runtime_clock::now() - asked_at >= wait;
     if (!batch->records.empty()) {
         handlers_.on_caught_up();
+    }
+    handlers_.on_confirmed(was_full_wait ? asked_at + wait : asked_at);
+    if (!batch->records.empty()) {
         co_await net::sleep_for(executor_, batch_delay_);
     }
 }
--- a/libs/agent/test/topic_follower_test.cpp
+++ b/libs/agent/test/topic_follower_test.cpp
@@ -98,6 +98,7 @@
         topic_follower::events events;
         events.on_record = [this](const store_record& record) { values_.push_back(record.value); };
         events.on_caught_up = [] {};
+        events.on_confirmed = [this](time_point as_of) { confirmed_.push_back(as_of); };
         events.on_store_lost = [this](const std::string& reason) { losses_.push_back(reason); };
         events.on_store_regained = [this] { ++regained_; };
         topic_follower follower(context_.get_executor(), store, topic::hosts, milliseconds(20),
@@ -114,6 +115,7 @@
     std::vector<std::string> paths_;
     std::vector<std::string> values_;
     std::vector<std::string> losses_;
+    std::vector<time_point> confirmed_;
     int regained_{0};
 };
 
--- a/libs/net/include/lavenderhoist/net/http_client.hpp
+++ b/libs/net/include/lavenderhoist/net/http_client.hpp
@@ -43,6 +43,9 @@
     /** \brief Connections open now, idle ones included. */
     std::size_t open_connections() const noexcept;
 
+    /** \brief Closes the idle connections. */
+    void close_idle();
+
     /** \brief Opens connections until `count` are open or one fails. */
     boost::asio::awaitable<void> warm(std::size_t count, time_point deadline);
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -64,6 +64,11 @@
     return state_->open;
 }
 
+void http_client::close_idle() {
+    state_->open -= state_->idle.size();
+    state_->idle.clear();
+}
+
 asio::awaitable<void> http_client::warm(std::size_t count, time_point deadline) {
     const auto state = state_;
     while (state->open < count) {
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -18,12 +18,13 @@
     net::tcp::endpoint peer_streams; ///< Streams from other nodes.
 };
 
-/** \brief Response bodies for other nodes that fetch the control state of this one; opaque here. */
+/** \brief Response bodies for other nodes that fetch the control state of this one; opaque here.
+ * Both functions are called on the data thread. */
 struct encoded_state {
-    /** The state, without what the peer with the given versions knows; called on the data thread.
-     */
+    /** The state, without what the peer with the given versions knows. */
     std::function<std::string(std::string_view known_versions)> state;
-    std::string versions; ///< The versions of the state, to check whether it is newer.
+    /** The versions of the state and their age, to check whether it is newer. */
+    std::function<std::string()> versions;
 };
 
 /** \brief Counts on the request path, for shutdown and metrics. */
@@ -58,6 +59,9 @@
     /** \brief Replaces what state_path and versions_path serve. */
     void set_shared_state(encoded_state state);
 
+    /** \brief Replaces what versions_path serves. */
+    void set_versions(std::function<std::string()> versions);
+
     /** \brief Starts an orderly shutdown: callers' connections close after the next answer, and
      * other nodes are made to open no more streams (GOAWAY). */
     void begin_shutdown();
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -135,9 +135,9 @@
     net::response answer;
     constexpr int status_ok = 200;
     answer.status = status_ok;
-    if (is_versions_path) {
-        answer.body = control_state.versions;
-    } else if (control_state.state) {
+    if (is_versions_path && control_state.versions) {
+        answer.body = control_state.versions();
+    } else if (is_state_path && control_state.state) {
         answer.body = control_state.state(net::find_header(message.fields, known_versions_field));
     }
     call->answer(answer);
@@ -250,6 +250,12 @@
     });
 }
 
+void data_worker::set_versions(std::function<std::string()> versions) {
+    asio::post(implementation_->context, [this, versions = std::move(versions)]() mutable {
+        implementation_->control_state.versions = std::move(versions);
+    });
+}
+
 void data_worker::begin_shutdown() {
     asio::post(implementation_->context, [this] {
         implementation_->request_entry.begin_shutdown();
