Requests under which targets end are quarantined at every node

Cause: nothing on the request path of lh-sidecar remembered what a target was running as it ended. The class: what is learnt from a failure at one place is lost to all others.

The node beside a target sees its end (a refused connection after lost requests, or an announcement of another start) and suspects what was at work, but for what the target has lately run to its end. It tells every node, which tell each other's restarted ones; a whole run anywhere clears a suspect everywhere. Under suspicion at two ends a request is refused as not run, with the longest wait, by entries and by the target's node. The grounds of a quarantine are part of the host record in the store, so that a restart of all nodes keeps them.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -72,6 +72,16 @@
     void apply_target();
     mesh::host_record local_record() const;
 
+    void watch_crashes();
+    void on_crash_news(relay::crash_watch::news found);
+    boost::asio::awaitable<bool>
+    exchange_suspicions(net::tcp::endpoint peer, const std::vector<quarantine::suspicion>& told);
+    boost::asio::awaitable<void> tell_suspicions(net::tcp::endpoint peer, std::string id,
+                                                 std::vector<quarantine::suspicion> suspicions);
+    boost::asio::awaitable<void> ask_for_suspicions(net::tcp::endpoint peer);
+    bool has_asked_for_suspicions() const noexcept;
+    void restore_suspicions(const mesh::host_record& record);
+
     boost::asio::awaitable<void> publish_loop();
     boost::asio::awaitable<void> peer_loop();
     boost::asio::awaitable<void> freshness_loop();
@@ -110,6 +120,8 @@
     mesh::record_position read_position_; ///< All host records up to it are known.
     store_readers readers_;
     mesh::target_lifecycle target_;
+    std::vector<quarantine::suspicion> recorded_suspicions_; ///< In the local host record.
+    int informants_{0}; ///< Answers of peers to the question for their suspicions since the start.
     store_knowledge configuration_knowledge_;
     bool has_logged_stale_{false};
     time_point last_comparison_at_;
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/agent/shared_state.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
+#include "lavenderhoist/net/spawn.hpp"
 
 #include <boost/json/object.hpp>
 
@@ -129,6 +130,7 @@
         const auto now = runtime_clock::now();
         const bool is_due =
             is_store_lost() || !table_ || configuration_knowledge_.is_stale(now) ||
+            !has_asked_for_suspicions() ||
             (readers_.is_reader() && now - last_comparison_at_ > comparison_interval);
         const auto peers = is_due ? peer_endpoints() : std::vector<net::tcp::endpoint>();
         if (peers.empty()) {
@@ -136,6 +138,7 @@
         }
         last_comparison_at_ = now;
         const auto& peer = peers[random_() % peers.size()];
+        net::spawn(context_, ask_for_suspicions(peer));
         if (table_) {
             co_await compare_with(peer);
         } else {
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -113,6 +113,7 @@
             on_departure_notice(target_id, started_at_ms);
         });
     });
+    watch_crashes();
     control_server_ = listener(settings.control, &control_worker::serve_target);
     readiness_server_ = listener(settings.ready, &control_worker::serve_readiness);
     metrics_server_ = listener(settings.metrics, &control_worker::serve_metrics);
@@ -235,6 +236,7 @@
     if (!directory_.apply(record, position)) {
         return;
     }
+    restore_suspicions(record);
     update_listed_hosts();
 }
 
@@ -284,6 +286,7 @@
     record.data_centre = settings_.data_centre;
     record.call_address = settings_.advertised_calls;
     record.node_stopping = stopping_;
+    record.quarantined = recorded_suspicions_;
     record.state = target_.state();
     if (const auto* const current_target = target_.current()) {
         record.service = current_target->service;
--- a/libs/mesh/include/lavenderhoist/mesh/host_record.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/host_record.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "lavenderhoist/config/address.hpp"
+#include "lavenderhoist/quarantine/suspicion.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lavenderhoist::mesh {
 
@@ -35,6 +37,8 @@
     int slots{0};
     target_state state{target_state::none};
     bool node_stopping{false}; ///< The node itself is about to stop.
+    /** Grounds of the requests that its target's ends have put into quarantine. */
+    std::vector<quarantine::suspicion> quarantined;
 
     bool operator==(const host_record&) const = default;
 };
--- a/libs/mesh/src/host_record.cpp
+++ b/libs/mesh/src/host_record.cpp
@@ -35,6 +35,11 @@
     record.slots = static_cast<int>(from.at("slots").as_int64());
     record.state = parse_state(text_of(from, "state")).value();
     record.node_stopping = from.at("stopping").as_bool();
+    if (const auto* const quarantined = from.if_contains("quarantined")) {
+        record.quarantined =
+            quarantine::decode_suspicions(std::string_view(quarantined->as_string()))
+                .value_or(std::vector<quarantine::suspicion>());
+    }
     return record;
 }
 
@@ -45,15 +50,19 @@
 }
 
 std::string encode(const host_record& record) {
-    return json::serialize(json::object{{"id", record.id},
-                                        {"data_centre", record.data_centre},
-                                        {"calls", config::to_string(record.call_address)},
-                                        {"service", record.service},
-                                        {"target", record.target_id},
-                                        {"born_ms", record.target_started_at_ms},
-                                        {"slots", record.slots},
-                                        {"state", to_string(record.state)},
-                                        {"stopping", record.node_stopping}});
+    json::object object{{"id", record.id},
+                        {"data_centre", record.data_centre},
+                        {"calls", config::to_string(record.call_address)},
+                        {"service", record.service},
+                        {"target", record.target_id},
+                        {"born_ms", record.target_started_at_ms},
+                        {"slots", record.slots},
+                        {"state", to_string(record.state)},
+                        {"stopping", record.node_stopping}};
+    if (!record.quarantined.empty()) {
+        object["quarantined"] = quarantine::encode(record.quarantined);
+    }
+    return json::serialize(object);
 }
 
 std::optional<host_record> decode_host_record(std::string_view text) {
--- a/libs/relay/include/lavenderhoist/relay.hpp
+++ b/libs/relay/include/lavenderhoist/relay.hpp
@@ -4,6 +4,7 @@
 
 #include "lavenderhoist/relay/announced_limit.hpp"
 #include "lavenderhoist/relay/attempt_plan.hpp"
+#include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/data_worker.hpp"
 #include "lavenderhoist/relay/entry.hpp"
 #include "lavenderhoist/relay/known_target.hpp"
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/metrics/recorder.hpp"
+#include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/entry.hpp"
 #include "lavenderhoist/relay/target_settings.hpp"
 
@@ -56,6 +57,13 @@
      * that it leaves. To be called before start(). */
     void set_departure_handler(target_port::departure_handler handler);
 
+    /** \brief Sets what is called, on the data thread, with news of requests that crash their
+     * targets. To be called before start(). */
+    void set_crash_handler(crash_watch::news_handler handler);
+
+    /** \brief Adds what other nodes have found of such requests. */
+    void merge_suspicions(std::vector<quarantine::suspicion> found);
+
     /** \brief Replaces what state_path and versions_path serve. */
     void set_shared_state(encoded_state state);
 
@@ -82,6 +90,9 @@
     static constexpr std::string_view state_path = "/lh/state";
     /** \brief Field with the versions that the peer knows. */
     static constexpr std::string_view known_versions_field = "lh-versions";
+    /** \brief Path at which other nodes tell which requests they suspect of crashing their targets;
+     * the answer lists all that this one does. */
+    static constexpr std::string_view suspicions_path = "/lh/suspicions";
     /** \brief Path at which other nodes fetch its versions only. */
     static constexpr std::string_view versions_path = "/lh/versions";
 
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -22,6 +22,7 @@
 
 namespace lavenderhoist::relay {
 
+class crash_watch;
 class known_target;
 
 /** \brief What an entry needs to know about the local node. */
@@ -45,7 +46,7 @@
 public:
     entry(const entry_settings& settings, const wire_names& names, const view_cell& views,
           target_port& local_target, peer_links& peers, net::deadline_queue& deadlines,
-          metrics::recorder& counters);
+          metrics::recorder& counters, const crash_watch& crashes);
     entry(const entry&) = delete;
     entry& operator=(const entry&) = delete;
     ~entry();
@@ -131,6 +132,7 @@
     peer_links& peers_;
     net::deadline_queue& deadlines_;
     metrics::recorder& counters_;
+    const crash_watch& crashes_;
     std::mt19937_64 random_;
     mesh::placement placement_;
     std::uint64_t generation_{0};
--- a/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
@@ -15,6 +15,7 @@
 struct target_port::job {
     ticket id{0};
     relay_request request;
+    std::uint64_t digest{0};
     done_handler done;
     std::optional<net::deadline_queue::handle> deadline;
     link_ptr link;
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -23,6 +23,8 @@
 
 namespace lavenderhoist::relay {
 
+class crash_watch;
+
 /**
  * \brief Sends requests to the local target: admission, connections, and proof of whether a request
  * has run.
@@ -42,8 +44,9 @@
         std::uint64_t opened_connections{0};
     };
 
+    /** \param crashes is told what the target was running when it ended. */
     target_port(boost::asio::any_io_executor executor, const wire_names& names, std::string node_id,
-                net::deadline_queue& deadlines);
+                net::deadline_queue& deadlines, crash_watch& crashes);
     target_port(const target_port&) = delete;
     target_port& operator=(const target_port&) = delete;
     ~target_port();
@@ -109,6 +112,9 @@
     void apply(const std::vector<admission::decision>& decisions);
     void start(const job_ptr& job);
     void connect(const job_ptr& job);
+    link_ptr add_link(net::tcp::socket socket);
+    void check_target();
+    void on_target_ended();
     void send(const job_ptr& job, const link_ptr& link);
     void on_answer(const job_ptr& job, net::exchange_result result);
     void on_deadline(const job_ptr& job);
@@ -127,6 +133,7 @@
     void log_load();
     void log_failure(const relay_request& request, const relay_answer& answer);
     void on_notice(const job& job, const target_notice& notice);
+    bool is_of_current_start(const job& job) const noexcept;
     bool is_accepting() const noexcept {
         return target_ && target_->is_accepting && !has_said_leaving_ && !refusing_;
     }
@@ -140,6 +147,7 @@
     const wire_names& names_;
     std::string node_id_;
     net::deadline_queue& deadlines_;
+    crash_watch& crashes_;
     std::optional<target_settings> target_;
     std::unique_ptr<admission::controller> controller_;
     std::unordered_map<std::string, route_state> routes_;
@@ -150,6 +158,7 @@
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
+    bool is_checking_target_{false};
     logging::line_budget failure_lines_;
     load_log load_log_;
     target_notice notice_; ///< The last one in an answer of the target.
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -48,13 +48,15 @@
     void tick();
     void sweep();
     void serve_stream(net::request message, net::h2_call_ptr call);
-    bool serve_control_state(const net::request& message, const net::h2_call_ptr& call) const;
+    bool serve_control_state(const net::request& message, const net::h2_call_ptr& call);
+    std::string exchange_suspicions(const net::request& message);
     void update_limits();
 
     entry_settings settings;
     asio::io_context context{1};
     net::deadline_queue deadlines;
     metrics::recorder counters;
+    crash_watch crashes;
     target_port local_target;
     peer_links peers;
     entry request_entry;
@@ -75,9 +77,10 @@
                                             const wire_names& names, const view_cell& views)
     : settings(given),
       deadlines(context.get_executor()),
-      local_target(context.get_executor(), names, settings.node_id, deadlines),
+      crashes(settings.node_id),
+      local_target(context.get_executor(), names, settings.node_id, deadlines, crashes),
       peers(context.get_executor(), deadlines),
-      request_entry(settings, names, views, local_target, peers, deadlines, counters),
+      request_entry(settings, names, views, local_target, peers, deadlines, counters, crashes),
       acceptor(net::listen(context.get_executor(), listeners.callers)),
       limits(std::make_shared<net::http_limits>(
           net::http_limits{max_sessions, default_header_bytes, default_body_bytes,
@@ -125,10 +128,11 @@
 }
 
 bool data_worker::implementation::serve_control_state(const net::request& message,
-                                                      const net::h2_call_ptr& call) const {
+                                                      const net::h2_call_ptr& call) {
     const bool is_state_path = message.path == state_path;
     const bool is_versions_path = message.path == versions_path;
-    if ((!is_state_path && !is_versions_path) ||
+    const bool is_suspicions_path = message.path == suspicions_path;
+    if ((!is_state_path && !is_versions_path && !is_suspicions_path) ||
         !net::find_header(message.fields, "lh-id").empty()) {
         return false;
     }
@@ -139,11 +143,25 @@
         answer.body = control_state.versions();
     } else if (is_state_path && control_state.state) {
         answer.body = control_state.state(net::find_header(message.fields, known_versions_field));
+    } else if (is_suspicions_path) {
+        answer.body = exchange_suspicions(message);
     }
     call->answer(answer);
     return true;
 }
 
+std::string data_worker::implementation::exchange_suspicions(const net::request& message) {
+    if (!message.body.empty()) {
+        const auto found = quarantine::decode_suspicions(message.body);
+        if (!found) {
+            counters.count("streams_malformed");
+            return {};
+        }
+        crashes.merge(*found);
+    }
+    return quarantine::encode(crashes.suspicions());
+}
+
 void data_worker::implementation::serve_stream(net::request message, net::h2_call_ptr call) {
     if (serve_control_state(message, call)) {
         return;
@@ -170,6 +188,7 @@
     local_target.on_window();
     peers.check_liveness();
     request_entry.refresh_levels();
+    crashes.tell_cleared();
     ++ticks;
     if (ticks % ticks_per_sweep == 0) {
         sweep();
@@ -244,6 +263,15 @@
     implementation_->local_target.set_departure_handler(std::move(handler));
 }
 
+void data_worker::set_crash_handler(crash_watch::news_handler handler) {
+    implementation_->crashes.set_news_handler(std::move(handler));
+}
+
+void data_worker::merge_suspicions(std::vector<quarantine::suspicion> found) {
+    asio::post(implementation_->context,
+               [this, found = std::move(found)] { implementation_->crashes.merge(found); });
+}
+
 void data_worker::set_shared_state(encoded_state state) {
     asio::post(implementation_->context, [this, state = std::move(state)]() mutable {
         implementation_->control_state = std::move(state);
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -45,7 +45,7 @@
 
 entry::entry(const entry_settings& settings, const wire_names& names, const view_cell& views,
              target_port& local_target, peer_links& peers, net::deadline_queue& deadlines,
-             metrics::recorder& counters)
+             metrics::recorder& counters, const crash_watch& crashes)
     : settings_(settings),
       names_(names),
       views_(views),
@@ -53,6 +53,7 @@
       peers_(peers),
       deadlines_(deadlines),
       counters_(counters),
+      crashes_(crashes),
       random_(random_seed()),
       placement_(random_seed()),
       failure_lines_(failure_lines_per_second),
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -79,9 +79,13 @@
     duration retry_after(0);
     if (has_not_run) {
         status = status_unavailable;
+        const auto longest = (request->request.deadline - now) / retry_after_divisor;
         const auto hint = last.retry_after.count() > 0 ? last.retry_after : default_retry_after;
-        retry_after = std::min(retry::spread_retry_after(hint, stable_hash(request->request.id)),
-                               (request->request.deadline - now) / retry_after_divisor);
+        retry_after =
+            last.failure.code == errc::quarantined
+                ? longest // it will be refused for minutes
+                : std::min(retry::spread_retry_after(hint, stable_hash(request->request.id)),
+                           longest);
     }
     counters_.observe(request->route->name, request->request.caller,
                       has_not_run ? outcome::not_run : outcome::unknown, now - request->started_at);
--- a/libs/relay/src/entry_attempts.cpp
+++ b/libs/relay/src/entry_attempts.cpp
@@ -1,3 +1,4 @@
+#include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/internal/entry_state.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
@@ -98,6 +99,12 @@
 }
 
 void entry::place(const pending_ptr& request) {
+    if (crashes_.is_quarantined(request->request)) {
+        counters_.count("quarantined");
+        fail(request, make_failure(execution::not_run, errc::quarantined, step::route,
+                                   request->request.service));
+        return;
+    }
     bool all_refuse = false;
     auto target = choose_target(*request, all_refuse);
     if (!target && all_refuse && try_raise_to_guaranteed(*request)) {
@@ -185,6 +192,11 @@
         target->on_report(request->route->name, *answer.load, now);
     }
     const auto next = request->plan.on_answer(answer, request->request.deadline - now);
+    if (answer.failure.code == errc::quarantined) {
+        counters_.count("quarantined");
+        fail(request, answer); // no target takes it
+        return;
+    }
     switch (next) {
     case next_step::deliver:
         if (may_retry_failure(*request, *target, answer, now) &&
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -1,3 +1,4 @@
+#include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/internal/target_job.hpp"
 
 #include "lavenderhoist/logging/log.hpp"
@@ -84,10 +85,14 @@
             deadlines_.remove(**timer);
         }
         job->connecting.reset();
+        const bool is_refused = failed == boost::asio::error::connection_refused;
+        const bool has_moved = !target_ || target_->where != where;
+        if (is_refused && !has_moved) {
+            on_target_ended();
+        }
         if (!jobs_.contains(job->id)) {
             return; // cancelled while connecting
         }
-        const bool has_moved = !target_ || target_->where != where;
         if (failed || !socket->is_open() || has_moved) {
             down_until_ = has_moved ? down_until_ : runtime_clock::now() + reconnect_delay;
             finish(job,
@@ -95,18 +100,72 @@
                    admission::completion::failed);
             return;
         }
-        const auto link = std::make_shared<net::http_link>(std::move(*socket), max_answer_bytes);
-        links_.emplace(link.get(), link);
-        link->start(
-            [this](net::http_link& lost) {
-                std::erase_if(idle_, [&lost](const auto& each) { return each.get() == &lost; });
-                links_.erase(&lost);
-            },
-            [this] { enforce_received_limit(); });
-        send(job, link);
+        send(job, add_link(std::move(*socket)));
+    });
+}
+
+target_port::link_ptr target_port::add_link(net::tcp::socket socket) {
+    const auto link = std::make_shared<net::http_link>(std::move(socket), max_answer_bytes);
+    links_.emplace(link.get(), link);
+    link->start(
+        [this](net::http_link& lost) {
+            std::erase_if(idle_, [&lost](const auto& each) { return each.get() == &lost; });
+            links_.erase(&lost);
+        },
+        [this] { enforce_received_limit(); });
+    return link;
+}
+
+void target_port::check_target() {
+    const bool has_room =
+        target_ && links_.size() < static_cast<std::size_t>(target_->max_connections);
+    if (!has_room || std::exchange(is_checking_target_, true)) {
+        return;
+    }
+    const auto socket = std::make_shared<net::tcp::socket>(executor_);
+    const auto where = target_->where;
+    const auto started_at_ms = target_->started_at_ms;
+    const auto timeout = deadlines_.add(runtime_clock::now() + connect_timeout, [socket] {
+        boost::system::error_code ignored;
+        socket->close(ignored);
+    });
+    ++totals_.opened_connections;
+    socket->async_connect(where, [this, socket, timeout, where,
+                                  started_at_ms](const boost::system::error_code& failed) {
+        is_checking_target_ = false;
+        const bool is_in_time = socket->is_open();
+        if (is_in_time) {
+            deadlines_.remove(timeout);
+        }
+        const bool is_same_start =
+            target_ && target_->where == where && target_->started_at_ms == started_at_ms;
+        if (failed == boost::asio::error::connection_refused && is_same_start) {
+            on_target_ended();
+        } else if (!failed && is_in_time && is_same_start) {
+            idle_.push_back(add_link(std::move(*socket)));
+        }
     });
 }
 
+void target_port::on_target_ended() {
+    std::vector<std::uint64_t> running;
+    for (const auto& [id, job] : jobs_) {
+        if (job->sent && is_of_current_start(*job)) {
+            running.push_back(job->digest);
+        }
+    }
+    if (!is_accepting()) { // planned
+        crashes_.forget_unanswered();
+        return;
+    }
+    crashes_.on_target_ended(target_->id, target_->started_at_ms, std::move(running));
+}
+
+bool target_port::is_of_current_start(const job& job) const noexcept {
+    return target_ && job.target_id == target_->id &&
+           job.target_started_at_ms == target_->started_at_ms;
+}
+
 net::request target_port::make_message(const job& job) const {
     auto message = job.request.message;
     const auto left =
@@ -135,12 +194,19 @@
     if (const auto link = std::exchange(job->link, nullptr); link && link->is_idle()) {
         idle_.push_back(link);
     }
-    const bool is_of_current_start = target_ && job->target_id == target_->id &&
-                                     job->target_started_at_ms == target_->started_at_ms;
-    if (!result.code && is_of_current_start && result.answer.status != status_misdirected) {
+    const bool is_current = is_of_current_start(*job);
+    if (!result.code && is_current && result.answer.status != status_misdirected) {
         on_notice(*job, read_notice(result.answer.fields, names_));
     }
+    const bool has_lost_link = static_cast<bool>(result.code);
     auto answer = interpret(*job, std::move(result));
+    if (answer.result == execution::answered) {
+        crashes_.on_completed(job->digest);
+    }
+    if (has_lost_link && is_current) {
+        crashes_.on_unanswered(job->digest);
+        check_target();
+    }
     auto how = admission::completion::answered;
     if (answer.result == execution::not_run) {
         how = admission::completion::shed;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -1,3 +1,4 @@
+#include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/internal/target_job.hpp"
 
 #include <algorithm>
@@ -31,11 +32,12 @@
 } // namespace
 
 target_port::target_port(boost::asio::any_io_executor executor, const wire_names& names,
-                         std::string node_id, net::deadline_queue& deadlines)
+                         std::string node_id, net::deadline_queue& deadlines, crash_watch& crashes)
     : executor_(std::move(executor)),
       names_(names),
       node_id_(std::move(node_id)),
       deadlines_(deadlines),
+      crashes_(crashes),
       failure_lines_(failure_lines_per_second) {}
 
 target_port::~target_port() {
@@ -47,6 +49,9 @@
         target_ && target && target_->id == target->id && target_->where == target->where;
     const bool is_same_start = is_same && target_->started_at_ms == target->started_at_ms;
     const bool took_work = target_ && target_->is_accepting;
+    if (target_ && !is_same_start) {
+        on_target_ended();
+    }
     target_ = target;
     if (!is_same_start) {
         close_idle_links();
@@ -134,6 +139,8 @@
         cause = errc::target_lost;
     } else if (request.deadline - now < min_time_left) {
         cause = errc::deadline_passed;
+    } else if (crashes_.is_quarantined(request)) {
+        cause = errc::quarantined;
     }
     if (cause != errc::ok) {
         ++totals_.refused_requests;
@@ -169,6 +176,7 @@
     auto made = std::make_shared<job>();
     made->id = id;
     made->request = std::move(request);
+    made->digest = digest_of(made->request);
     made->done = std::move(done);
     jobs_.emplace(id, made);
     made->deadline = deadlines_.add(made->request.deadline + answer_grace, [this, made] {
@@ -286,6 +294,9 @@
     if (const auto link = std::exchange(job->link, nullptr)) {
         link->abandon();
     }
+    if (job->sent && is_of_current_start(*job)) {
+        crashes_.on_unanswered(job->digest);
+    }
     const auto proof = job->sent ? execution::unknown : execution::not_run;
     finish(job, make_failure(proof, errc::deadline_passed, step::target, node_id_),
            admission::completion::failed);
--- a/libs/serving/include/lavenderhoist/serving.hpp
+++ b/libs/serving/include/lavenderhoist/serving.hpp
@@ -9,7 +9,6 @@
 #include "lavenderhoist/serving/entry_worker.hpp"
 #include "lavenderhoist/serving/node_state.hpp"
 #include "lavenderhoist/serving/parent_call.hpp"
-#include "lavenderhoist/serving/poison_watch.hpp"
 #include "lavenderhoist/serving/refusal_log.hpp"
 #include "lavenderhoist/serving/routing_view.hpp"
 #include "lavenderhoist/serving/target_health.hpp"
--- a/libs/serving/include/lavenderhoist/serving/target_worker.hpp
+++ b/libs/serving/include/lavenderhoist/serving/target_worker.hpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/net/http_client.hpp"
 #include "lavenderhoist/net/http_server.hpp"
 #include "lavenderhoist/order_service/order_registry.hpp"
+#include "lavenderhoist/quarantine/crash_ledger.hpp"
 #include "lavenderhoist/routing/decaying_level.hpp"
 #include "lavenderhoist/serving/admission_gate.hpp"
 #include "lavenderhoist/serving/announcement.hpp"
@@ -12,13 +13,13 @@
 #include "lavenderhoist/serving/dispatcher.hpp"
 #include "lavenderhoist/serving/node_state.hpp"
 #include "lavenderhoist/serving/parent_call.hpp"
-#include "lavenderhoist/serving/poison_watch.hpp"
 #include "lavenderhoist/serving/target_health.hpp"
 #include "lavenderhoist/serving/worker.hpp"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -125,6 +126,8 @@
     admission_gate& callee_gate(const std::string& callee);
     bool is_leaving() const;
     boost::asio::awaitable<void> check_target_death();
+    std::uint64_t next_end();
+    void add_suspicions(std::span<const std::uint64_t> requests, std::uint64_t end);
     boost::asio::awaitable<void> tick_loop();
 
     node_state& state_;
@@ -133,7 +136,8 @@
     caller_front front_;
     dispatcher dispatcher_;
     order_registry orders_;
-    poison_watch poison_;
+    quarantine::crash_ledger crashes_;
+    std::uint64_t last_end_{0}; ///< Numbers the ends of targets that are known here.
     parent_registry parents_;
     std::map<std::string, std::unique_ptr<admission_gate>> callee_gates_; // by callee
     // Admission levels of callees, by the route hash of the parent, then by callee.
--- a/libs/serving/src/target_worker.cpp
+++ b/libs/serving/src/target_worker.cpp
@@ -1,5 +1,7 @@
 #include "lavenderhoist/serving/target_worker.hpp"
 
+#include "lavenderhoist/core/hash.hpp"
+
 #include "lavenderhoist/call/problem.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
@@ -100,12 +102,27 @@
                                     std::vector<std::uint64_t> quarantined) {
     asio::post(worker_.context(),
                [this, suspects = std::move(suspects), quarantined = std::move(quarantined)] {
-                   const auto now = runtime_clock::now();
-                   poison_.add_suspects(suspects, now);
-                   poison_.add_quarantined(quarantined, now);
+                   // Each message is about an end that only its sender has seen.
+                   add_suspicions(suspects, next_end());
+                   for (std::size_t i = 1; i < quarantine::crash_ledger::ends_to_quarantine; ++i) {
+                       add_suspicions(quarantined, next_end());
+                   }
                });
 }
 
+std::uint64_t target_worker::next_end() {
+    return mix(stable_hash(state_.settings.id) ^ ++last_end_);
+}
+
+void target_worker::add_suspicions(std::span<const std::uint64_t> requests, std::uint64_t end) {
+    const auto now = wall_time();
+    std::vector<quarantine::suspicion> found;
+    for (const auto request : requests) {
+        found.push_back({request, end, now});
+    }
+    crashes_.merge(found, now);
+}
+
 std::optional<std::map<std::string, hand_over>>
 target_worker::make_hand_overs(const std::string& service, std::int64_t epoch) {
     return worker_.run_here(
--- a/libs/serving/src/target_worker_calls.cpp
+++ b/libs/serving/src/target_worker_calls.cpp
@@ -117,7 +117,7 @@
 std::optional<call_answer> target_worker::refuse_early(const call& request) {
     const auto now = runtime_clock::now();
     const auto digest = identity_of(request).digest;
-    if (poison_.is_quarantined(digest, now)) {
+    if (crashes_.is_quarantined(digest, wall_time())) {
         return make_failure(outcome::refused, errc::quarantined, step::admission,
                             state_.settings.id);
     }
@@ -229,7 +229,7 @@
     record_health(answer);
     answer.credits_left = parent->credits.balance();
     if (answer.result == outcome::completed) {
-        poison_.on_completed(digest);
+        crashes_.on_completed(digest, wall_time());
     }
     co_return answer;
 }
@@ -294,9 +294,17 @@
     }
     std::ranges::sort(running);
     running.erase(std::unique(running.begin(), running.end()), running.end());
-    auto quarantined = poison_.on_death(running, runtime_clock::now());
+    std::vector<std::uint64_t> suspects;
+    std::vector<std::uint64_t> quarantined;
+    const auto seen_at = wall_time();
+    for (const auto& each : crashes_.on_end(next_end(), running, seen_at)) {
+        suspects.push_back(each.request);
+        if (crashes_.is_quarantined(each.request, seen_at)) {
+            quarantined.push_back(each.request);
+        }
+    }
     counters_.count("poison.quarantined", quarantined.size());
-    poison_handler_(std::move(running), std::move(quarantined));
+    poison_handler_(std::move(suspects), std::move(quarantined));
     withdraw_target();
 }
 
