A second copy of a refusal can't answer a further attempt at the same request

Cause: answers are matched by the request's id. An entry that raises a request to the guaranteed share may send it to a target that has refused it before, under the same id and on the same connection, where a faulty target may write that refusal once more.

A request that the target has refused goes out on a new connection until its deadline. Evidence: target_port_refusals.a_second_copy_is_not_taken_for_the_refusal_of_a_further_attempt failed before (not run, while the target ran it) and passes now. Copies that arrive on an idle connection, and those with another id, were dropped before.

--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -120,7 +120,7 @@
     void on_deadline(const job_ptr& job);
     relay_answer interpret(const job& job, net::exchange_result result) const;
     net::request make_message(const job& job) const;
-    link_ptr take_idle_link();
+    link_ptr take_idle_link(const job& job);
     void finish(const job_ptr& job, relay_answer answer, admission::completion how);
     void remove_running(const job& ended);
     void shorten_deadline(const job_ptr& job);
@@ -155,6 +155,9 @@
     std::unordered_map<std::string_view, job*> running_; ///< By request id; views into the jobs.
     std::unordered_map<net::http_link*, link_ptr> links_;
     std::vector<link_ptr> idle_; ///< The most recently used one is at the back.
+    /** Requests that the target has refused, until their deadlines: a second copy of the refusal
+     * may still arrive on the connection, with the same request id. */
+    std::unordered_map<std::string, time_point> refused_ids_;
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -45,7 +45,7 @@
     }
     job->target_id = target_->id;
     job->target_started_at_ms = target_->started_at_ms;
-    if (const auto link = take_idle_link()) {
+    if (const auto link = take_idle_link(*job)) {
         send(job, link);
         return;
     }
@@ -57,7 +57,10 @@
     connect(job);
 }
 
-target_port::link_ptr target_port::take_idle_link() {
+target_port::link_ptr target_port::take_idle_link(const job& job) {
+    if (refused_ids_.contains(job.request.id)) {
+        return nullptr;
+    }
     while (!idle_.empty()) {
         auto link = std::move(idle_.back());
         idle_.pop_back();
@@ -203,6 +206,9 @@
     if (answer.result == execution::answered) {
         crashes_.on_completed(job->digest);
     }
+    if (answer.result == execution::not_run) {
+        refused_ids_.insert_or_assign(job->request.id, job->request.deadline);
+    }
     if (has_lost_link && is_current) {
         crashes_.on_unanswered(job->digest);
         check_target();
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -349,6 +349,8 @@
         log_level();
         log_load();
     }
+    std::erase_if(refused_ids_,
+                  [now = runtime_clock::now()](const auto& each) { return each.second < now; });
     for (auto& [name, route] : routes_) {
         route.limit.on_window(route.objective, runtime_clock::now());
     }
