One odd entry among the records of the hosts hides none of the others

Cause: one malformed item gave up the whole page of a list: a missing or mistyped field, an offset beyond all bounds, a key that is not UTF-8. Keys went into the next page's query unencoded, and base64 was cut silently where it is damaged. A host record with a host name, or with slots below 0 or beyond an int, was taken.

Items are decoded one by one, and how many were left out is logged; an address is numeric, as its documentation says; slots are bounded. Evidence: codec.an_odd_entry_does_not_hide_the_others, codec.lists_on_after_a_key_with_any_bytes and host_record.an_odd_one_is_rejected failed before, and platform_odd_entries.* until keys of any bytes were read. Deeply nested values, numbers too large and ports out of range ended no process before either (codec.damaged_messages_do_not_throw, and the nested values of the new tests).

--- a/libs/agent/include/lavenderhoist/agent/store_types.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_types.hpp
@@ -27,7 +27,9 @@
     std::vector<store_record> records;
     std::int64_t era{0}; ///< Rises each time the store is restored from a copy.
     std::int64_t next_offset{0};
-    bool has_more{false}; ///< Only of list_newest: more pages follow after the last key.
+    bool has_more{false};     ///< Only of list_newest: more pages follow after `last_key`.
+    std::string last_key;     ///< Only of list_newest: of the last entry with a key, sound or not.
+    int malformed_records{0}; ///< Left out of `records`.
 };
 
 /** \brief The records at the requested offset have expired, or the store has been restored from an
--- a/libs/agent/src/store_client.cpp
+++ b/libs/agent/src/store_client.cpp
@@ -57,10 +57,9 @@
         } else if (batch->era != all.era) {
             co_return store_failure{"restored from a copy while it was listed", false};
         }
-        const bool has_more = batch->has_more && !batch->records.empty();
-        if (has_more) {
-            after = batch->records.back().key;
-        }
+        const bool has_more = batch->has_more && batch->last_key != after;
+        after = batch->last_key;
+        all.malformed_records += batch->malformed_records;
         all.records.insert(all.records.end(), std::make_move_iterator(batch->records.begin()),
                            std::make_move_iterator(batch->records.end()));
         if (!has_more) {
--- a/libs/agent/src/topic_follower.cpp
+++ b/libs/agent/src/topic_follower.cpp
@@ -1,5 +1,6 @@
 #include "lavenderhoist/agent/topic_follower.hpp"
 
+#include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -17,6 +18,16 @@
 constexpr topic_follower::backoff_bounds default_backoff{std::chrono::milliseconds(50),
                                                          std::chrono::milliseconds(800)};
 
+void log_malformed(const record_batch& batch) {
+    if (batch.malformed_records == 0) {
+        return;
+    }
+    logging::log_line(logging::severity::warning, "records left out",
+                      {{"malformed", batch.malformed_records},
+                       {"read", batch.records.size()},
+                       {"next_offset", batch.next_offset}});
+}
+
 } // namespace
 
 topic_follower::topic_follower(asio::any_io_executor executor, store_client& store, topic which,
@@ -84,6 +95,7 @@
         co_return;
     }
     on_answer();
+    log_malformed(*batch);
     if (batch->era > era_ && has_listed_) {
         handlers_.on_store_restored(batch->era);
     }
@@ -125,6 +137,7 @@
         co_return;
     }
     next_offset_ = batch->next_offset;
+    log_malformed(*batch);
     for (const auto& record : batch->records) {
         handlers_.on_record(record);
     }
--- a/libs/config/include/lavenderhoist/config/address.hpp
+++ b/libs/config/include/lavenderhoist/config/address.hpp
@@ -16,7 +16,8 @@
     auto operator<=>(const address&) const = default;
 };
 
-/** \brief Parses `host:port`. \returns nothing if the port is missing or out of range. */
+/** \brief Parses `host:port`. \returns nothing if the host is no numeric IP address, or the port is
+ * missing or out of range. */
 std::optional<address> parse_address(std::string_view text);
 
 std::string to_string(const address& where);
--- a/libs/mesh/src/host_record.cpp
+++ b/libs/mesh/src/host_record.cpp
@@ -3,12 +3,16 @@
 #include <boost/json.hpp>
 
 #include <array>
+#include <stdexcept>
 
 namespace lavenderhoist::mesh {
 namespace {
 
 namespace json = boost::json;
 
+/** Far above the slots of real targets. */
+constexpr std::int64_t max_slots = 1'000'000;
+
 constexpr std::array<std::string_view, 4> state_names{"none", "ready", "leaving", "gone"};
 
 std::optional<target_state> parse_state(std::string_view name) {
@@ -32,7 +36,11 @@
     record.service = text_of(from, "service");
     record.target_id = text_of(from, "target");
     record.target_started_at_ms = from.at("born_ms").as_int64();
-    record.slots = static_cast<int>(from.at("slots").as_int64());
+    const auto slots = from.at("slots").as_int64();
+    if (slots < 0 || slots > max_slots) {
+        throw std::out_of_range("slots");
+    }
+    record.slots = static_cast<int>(slots);
     record.state = parse_state(text_of(from, "state")).value();
     record.node_stopping = from.at("stopping").as_bool();
     if (const auto* const quarantined = from.if_contains("quarantined")) {
