--- a/libs/mesh/include/lavenderhoist/mesh/route.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/route.hpp
@@ -10,7 +10,7 @@
 /** \brief A service that a route forwards to, and its share of the route's requests. */
 struct destination {
     std::string service;
-    int weight{1}; ///< Relative to the other destinations of the route.
+    double weight{1}; ///< Relative to the other destinations of the route; not negative.
 };
 
 /** \brief Configuration of the requests of one host name and path prefix. */
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -126,14 +126,14 @@
 }
 
 const std::string& entry::choose_service(const mesh::route& route) {
-    int total = 0;
+    double total = 0;
     for (const auto& each : route.destinations) {
         total += each.weight;
     }
     if (total <= 0 || route.destinations.size() == 1) {
         return route.destinations.front().service;
     }
-    auto left = static_cast<int>(random_() % static_cast<unsigned>(total));
+    auto left = std::uniform_real_distribution<double>(0, total)(random_);
     for (const auto& each : route.destinations) {
         left -= each.weight;
         if (left < 0) {
