Answers that are cut short anywhere are shown not to be whole

An answer cut after each of its bytes, in the head, between two fields, inside Content-Length, in a chunk head, is an error on the code as it was; the test keeps it so.

--- a/libs/net/test/http_link_test.cpp
+++ b/libs/net/test/http_link_test.cpp
@@ -144,6 +144,44 @@
     RC_ASSERT(result->answer.body == *expected);
 }
 
+/** Sends the first bytes of an answer, ends the connection, and returns what the caller gets. */
+exchange_result run_cut_short(std::string_view bytes, std::size_t length) {
+    boost::asio::io_context context(1);
+    auto [local, peer] = test::make_pair(context);
+    const auto link = std::make_shared<http_link>(std::move(local), max_body_bytes);
+    link->start([](http_link&) {});
+    exchange_result result;
+    int answers = 0;
+    link->exchange({"GET", "/", {}, "", "host"}, expected_echo, [&](exchange_result ended) {
+        result = std::move(ended);
+        ++answers;
+    });
+    test::read_available(context, peer);
+    test::write_in_pieces(context, peer, bytes.substr(0, length), max_body_bytes);
+    boost::system::error_code ignored;
+    peer.close(ignored);
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(answers, 1) << length;
+    link->abandon();
+    return result;
+}
+
+// A server stops anywhere in its answer and closes; only one without a length may end so.
+TEST(http_link, an_answer_cut_short_anywhere_is_not_whole) {
+    const std::string unframed = bytes_of(piece::unframed);
+    const auto head_bytes = unframed.size() - body.size();
+    for (std::size_t length = 0; length < head_bytes; ++length) {
+        EXPECT_TRUE(run_cut_short(unframed, length).code) << "unframed, " << length;
+    }
+    for (const auto what : {piece::framed, piece::chunked, piece::empty}) {
+        const auto bytes = bytes_of(what);
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            EXPECT_TRUE(run_cut_short(bytes, length).code)
+                << static_cast<int>(what) << ", " << length;
+        }
+    }
+}
+
 TEST(http_link, is_not_used_again_after_bytes_that_belong_to_nobody) {
     boost::asio::io_context context(1);
     auto [local, peer] = test::make_pair(context);
