Soak: configurations in series beside the other faults, and connections that fall silent

Each seed publishes a version every 0.2 to 1.2 s, silences open connections to the store for good now and then, and ends with a version that all nodes must apply within 2 s while half of the nodes' connections to the store are silent. The draws of the other faults stay. Request ids are counted atomically: the check runs beside the callers.

--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/post.hpp>
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <future>
 #include <map>
@@ -150,7 +151,7 @@
     std::vector<organisation_spec> organisations_;
     std::string key_;
     int version_{0};
-    int last_id_{0};
+    std::atomic<int> last_id_{0};
 };
 
 /** \brief Ports that are free on loopback, all different. */
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 // that callers receive against the executions that targets record.
 
 #include "callers.hpp"
+#include "changes.hpp"
 #include "faults.hpp"
 
 #include "lavenderhoist/cli/options.hpp"
@@ -15,6 +16,10 @@
 constexpr int caller_count = 6;
 constexpr duration recovery_timeout = std::chrono::seconds(10);
 
+std::vector<platform_test::route_spec> routes() {
+    return {{"/order/", "orders", false}, {"/read/", "reads", true}, {"/deep/", "deep"}};
+}
+
 void build(platform_test::world& deployment) {
     const std::vector<platform::stub_call> call_of_orders{
         {"/order/", platform_test::world::host_name, "/deep/x"}};
@@ -26,8 +31,7 @@
     deployment.add_host("reads", "b", call_of_reads);
     deployment.add_host("deep", "a");
     deployment.add_host("deep", "b");
-    deployment.publish(
-        {{"/order/", "orders", false}, {"/read/", "reads", true}, {"/deep/", "deep"}});
+    deployment.publish(routes());
 }
 
 std::vector<std::string> run_seed(std::uint64_t seed, duration length) {
@@ -38,20 +42,24 @@
     }
     soak::callers callers(world, caller_count, seed);
     soak::fault_plan faults(world, seed);
+    soak::configuration_changes changes(world, routes(), seed);
     faults.run(length);
+    changes.stop();
     const bool has_recovered = world.wait_until_ready(recovery_timeout);
+    const auto outdated = has_recovered ? changes.find_outdated() : std::vector<std::string>();
     callers.stop();
     auto violations = callers.find_violations();
     const auto excess = faults.find_excess();
     violations.insert(violations.end(), excess.begin(), excess.end());
+    violations.insert(violations.end(), outdated.begin(), outdated.end());
     violations.insert(violations.end(), faults.unexplained_ends().begin(),
                       faults.unexplained_ends().end());
     if (!has_recovered) {
         violations.emplace_back("not every node was ready within 10 s after the last fault");
     }
     std::cout << "seed " << seed << ": " << callers.served() << " of " << callers.sent()
-              << " served, " << faults.history().size() << " faults, " << violations.size()
-              << " violations\n";
+              << " served, " << faults.history().size() << " faults, " << changes.published()
+              << " configurations, " << violations.size() << " violations\n";
     for (const auto& each : violations) {
         std::cout << "  " << each << '\n';
     }
