Connections that fall silent are replaced; a node that has just started vouches for nothing

Now a connection without a byte by the deadline of an exchange is dropped, a node starts knowing nothing, a confirmation counts only for the same version, and the first reader waits 5 s for host records.

--- a/libs/agent/include/lavenderhoist/agent/store_knowledge.hpp
+++ b/libs/agent/include/lavenderhoist/agent/store_knowledge.hpp
@@ -24,8 +24,9 @@
      * of a slow store. */
     static constexpr duration max_reader_age = std::chrono::milliseconds(1'200);
 
+    /** \brief At its start a node knows nothing; it lists the topic at once. */
     explicit store_knowledge(time_point started_at) noexcept
-        : as_of_(started_at), next_read_at_(started_at + max_age) {}
+        : as_of_(started_at - age_of_no_knowledge), next_read_at_(started_at + max_age) {}
 
     /** \brief All that the store had confirmed at that moment is known. */
     void on_confirmed(time_point as_of) noexcept;
@@ -44,6 +45,8 @@
     time_point next_read_at() const noexcept { return next_read_at_; }
 
 private:
+    static constexpr duration age_of_no_knowledge = std::chrono::hours(1);
+
     /** Backoff between reads while none is answered. */
     static constexpr duration min_backoff = std::chrono::milliseconds(800);
     static constexpr duration max_backoff = std::chrono::milliseconds(3'200);
--- a/libs/agent/src/control_freshness.cpp
+++ b/libs/agent/src/control_freshness.cpp
@@ -32,8 +32,9 @@
 }
 
 void control_worker::adopt_confirmation(const shared_versions& peer, time_point asked_at) {
-    const bool has_its_version = table_ && table_->version() >= peer.configuration;
-    if (!has_its_version || (!peer.configuration_age && !peer.reads_store)) {
+    // A peer with an older version says nothing about what came after ours.
+    const bool has_same_version = table_ && table_->version() == peer.configuration;
+    if (!has_same_version || (!peer.configuration_age && !peer.reads_store)) {
         return;
     }
     on_confirmed(asked_at - peer.configuration_age.value_or(duration(0)));
--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -51,6 +51,10 @@
  * be in force. */
 constexpr duration first_reader_wait = std::chrono::milliseconds(600);
 
+/** Wait of the host record reads of a data centre's first reader: bounds for how long a connection
+ * that has fallen silent goes unnoticed where those of all readers have. */
+constexpr duration first_reader_hosts_wait = std::chrono::seconds(5);
+
 /** Max. time between the store's responses to the long polls of different nodes for one record. */
 constexpr duration max_answer_skew = std::chrono::milliseconds(300);
 
@@ -157,6 +161,8 @@
     hosts_follower_.set_backoff(substitute_backoff);
     configuration_follower_.set_read_wait(
         readers_.is_first_reader() ? first_reader_wait : topic_follower::long_read_wait);
+    hosts_follower_.set_read_wait(readers_.is_first_reader() ? first_reader_hosts_wait
+                                                             : topic_follower::long_read_wait);
     std::set<std::string_view> data_centres;
     for (const auto& host : *listed_hosts_) {
         data_centres.insert(host.data_centre);
--- a/libs/agent/test/store_knowledge_test.cpp
+++ b/libs/agent/test/store_knowledge_test.cpp
@@ -16,8 +16,19 @@
 
 } // namespace
 
+// A node that has just started must not vouch for what a peer that is behind has given it.
+TEST(store_knowledge, a_node_that_has_just_started_knows_nothing) {
+    store_knowledge knowledge(start);
+    EXPECT_EQ(knowledge.next_read_at(), start + store_knowledge::max_age);
+    EXPECT_TRUE(knowledge.is_stale(start));
+    knowledge.on_confirmed(start - std::chrono::seconds(10));
+    EXPECT_TRUE(knowledge.is_stale(start));
+    EXPECT_EQ(knowledge.next_read_at(), start + store_knowledge::max_age);
+}
+
 TEST(store_knowledge, ages_while_nothing_is_confirmed) {
     store_knowledge knowledge(start);
+    knowledge.on_confirmed(start);
     EXPECT_EQ(knowledge.next_read_at(), start + store_knowledge::max_age);
     EXPECT_FALSE(knowledge.is_stale(start));
     EXPECT_TRUE(knowledge.is_stale(start + store_knowledge::max_age));
@@ -47,6 +58,7 @@
 // milliseconds never acts on knowledge that is older than a version may be.
 RC_GTEST_PROP(store_knowledge, stays_younger_than_a_version_may_be, ()) {
     store_knowledge knowledge(start);
+    knowledge.on_confirmed(start);
     const duration answer_time = milliseconds(*rc::gen::inRange(0, 400));
     const auto gaps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3'000));
     auto now = start;
--- a/libs/net/include/lavenderhoist/net/h2_pool.hpp
+++ b/libs/net/include/lavenderhoist/net/h2_pool.hpp
@@ -8,7 +8,8 @@
 
 namespace lavenderhoist::net {
 
-/** \brief Keeps one HTTP/2 connection to each peer in use. Not thread-safe. */
+/** \brief Keeps one HTTP/2 connection to each peer in use. A connection on which nothing has
+ * arrived by the deadline of an exchange is replaced. Not thread-safe. */
 class h2_pool {
 public:
     h2_pool(boost::asio::any_io_executor executor, std::size_t max_body_bytes);
@@ -32,6 +33,7 @@
 
     boost::asio::awaitable<std::shared_ptr<h2_client>> client_for(tcp::endpoint peer,
                                                                   time_point deadline);
+    void drop(const tcp::endpoint& peer, const std::shared_ptr<h2_client>& silent);
 
     boost::asio::any_io_executor executor_;
     std::size_t max_body_bytes_;
--- a/libs/net/src/h2_pool.cpp
+++ b/libs/net/src/h2_pool.cpp
@@ -61,7 +61,22 @@
         failed.never_processed = true;
         co_return failed;
     }
-    co_return co_await client->exchange(message, deadline, std::move(cancelled));
+    const auto sent_at = runtime_clock::now();
+    auto result = co_await client->exchange(message, deadline, std::move(cancelled));
+    if (result.code == errc::deadline_passed && client->last_received() < sent_at) {
+        drop(peer, client);
+    }
+    co_return result;
+}
+
+void h2_pool::drop(const tcp::endpoint& peer, const std::shared_ptr<h2_client>& silent) {
+    const auto found = clients_.find(peer);
+    if (found != clients_.end() && found->second == silent) {
+        clients_.erase(found);
+    }
+    if (silent->open_streams() == 0) {
+        silent->shut_down();
+    }
 }
 
 void h2_pool::close_idle(time_point before) {
