A signal to read the settings again does not end a node that is starting

Cause: the default action of SIGHUP ends a process; the handler is installed after the settings were read and the listeners opened. It is ignored from the first line of main. Evidence: platform_start.a_signal_to_read_settings_again_does_not_end_a_starting_node failed before and passes now. Before main nothing can be done.

--- a/apps/lh_sidecar/main.cpp
+++ b/apps/lh_sidecar/main.cpp
@@ -5,6 +5,7 @@
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/platform/codec.hpp"
 
+#include <csignal>
 #include <iostream>
 
 namespace {
@@ -29,6 +30,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    std::signal(SIGHUP, SIG_IGN); // ends a process that has no handler yet
     boost::program_options::options_description options("Options");
     options.add_options()("settings", boost::program_options::value<std::string>()->required(),
                           "settings of the process (JSON)")("check", "check the settings and exit");
