One end of a target that is noticed twice counts as one

Callers saw: after a single end of a target, requests that it happened to be running could be quarantined for ten minutes (503 everywhere), though it takes two ends.

Cause: each notice of an end got a number of its own. A process that is killed closes its listener and its connections one by one, so a connection can be refused before the last of the others has reported its loss; that loss was then attributed to a second end. The announcement of the next start was a further notice. `lh-node` keeps a flag for this, the sidecar's path did not.

Evidence: crash_watch.one_end_that_is_noticed_twice_quarantines_nothing failed on the code before, at both places, and passes now. Found by reading.

Change: notices of an end belong to the same one until a connection to the target has been established or another start has ended. A second end of a start that has not announced itself still counts (crash_watch.an_end_after_a_new_connection_is_another_one).

--- a/libs/relay/include/lavenderhoist/relay/crash_watch.hpp
+++ b/libs/relay/include/lavenderhoist/relay/crash_watch.hpp
@@ -47,8 +47,13 @@
     /** \brief The local target has run a request to its end. */
     void on_completed(std::uint64_t request);
 
+    /** \brief A connection to the local target has been established: a further end is another one.
+     */
+    void on_connected() noexcept;
+
     /**
-     * \brief The local target has ended.
+     * \brief The local target has ended. Further calls add to the same end until a connection has
+     * been established or another start has ended.
      * \param running the requests that were at work, besides those left without an answer lately.
      */
     void on_target_ended(std::string_view target_id, std::int64_t started_at_ms,
@@ -79,6 +84,7 @@
     std::deque<unanswered_request> unanswered_; ///< By the current start; in order of time.
     std::vector<quarantine::suspicion> cleared_;
     std::uint64_t ends_{0}; ///< Tells the ends of one start apart.
+    bool has_ended_{false}; ///< No connection has been established since the last end.
     news_handler tell_;
 };
 
--- a/libs/relay/src/crash_watch.cpp
+++ b/libs/relay/src/crash_watch.cpp
@@ -40,6 +40,12 @@
     cleared_.insert(cleared_.end(), cleared.begin(), cleared.end());
 }
 
+void crash_watch::on_connected() noexcept {
+    if (std::exchange(has_ended_, false)) {
+        ++ends_;
+    }
+}
+
 void crash_watch::on_target_ended(std::string_view target_id, std::int64_t started_at_ms,
                                   std::vector<std::uint64_t> running) {
     const auto oldest = runtime_clock::now() - unanswered_lifetime;
@@ -48,6 +54,7 @@
             running.push_back(each.request);
         }
     }
+    has_ended_ = true;
     if (running.empty()) {
         return;
     }
@@ -55,7 +62,7 @@
     running.erase(std::unique(running.begin(), running.end()), running.end());
     const auto now = wall_time();
     const auto end = mix(stable_hash(node_id_) ^ mix(stable_hash(target_id)) ^
-                         mix(static_cast<std::uint64_t>(started_at_ms) + ++ends_));
+                         mix(static_cast<std::uint64_t>(started_at_ms) ^ mix(ends_)));
     news found{ledger_.on_end(end, running, now), {}};
     boost::json::array quarantined;
     for (const auto& each : found.suspicions) {
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -108,6 +108,7 @@
 }
 
 target_port::link_ptr target_port::add_link(net::tcp::socket socket) {
+    crashes_.on_connected();
     const auto link = std::make_shared<net::http_link>(std::move(socket), max_answer_bytes);
     links_.emplace(link.get(), link);
     link->start(
