A request that ends its targets is known at hosts of every service

Callers saw: a request under which targets end could end two targets for each service at whose hosts it came again, since the digest by which it is known held the service of its entry's host.

Cause: whether a target ends under a request may depend on its caller or not; the digest assumed that it does. With four services that is eight ends, five of them after the third.

Change: two digests, with and without the caller. Both are suspected when a target ends; each is cleared by whole runs of requests that share it. So requests of other callers neither keep a harmful one in use nor are refused with it.

--- a/libs/relay/include/lavenderhoist/relay/crash_watch.hpp
+++ b/libs/relay/include/lavenderhoist/relay/crash_watch.hpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/core/clock.hpp"
 #include "lavenderhoist/quarantine/crash_ledger.hpp"
+#include "lavenderhoist/quarantine/request_digests.hpp"
 #include "lavenderhoist/quarantine/suspicion.hpp"
 
 #include <cstdint>
@@ -18,7 +19,7 @@
 struct relay_request;
 
 /** \brief Identifies requests that do the same at a target. */
-std::uint64_t digest_of(const relay_request& request);
+quarantine::request_digests digests_of(const relay_request& request);
 
 /**
  * \brief Keeps requests that crash their targets from further ones: collects what the local target
@@ -42,10 +43,10 @@
     void set_news_handler(news_handler handler) { tell_ = std::move(handler); }
 
     /** \brief The local target left a request without an answer: it may have ended. */
-    void on_unanswered(std::uint64_t request);
+    void on_unanswered(const quarantine::request_digests& request);
 
     /** \brief The local target has run a request to its end. */
-    void on_completed(std::uint64_t request);
+    void on_completed(const quarantine::request_digests& request);
 
     /** \brief A connection to the local target has been established: a further end is another one.
      */
@@ -57,7 +58,7 @@
      * \param running the requests that were at work, besides those left without an answer lately.
      */
     void on_target_ended(std::string_view target_id, std::int64_t started_at_ms,
-                         std::vector<std::uint64_t> running);
+                         std::vector<quarantine::request_digests> running);
 
     /** \brief The local target has stopped as planned, or another one has taken its place. */
     void forget_unanswered() noexcept { unanswered_.clear(); }
@@ -75,7 +76,7 @@
 
 private:
     struct unanswered_request {
-        std::uint64_t request;
+        quarantine::request_digests request;
         time_point at;
     };
 
--- a/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderhoist/quarantine/request_digests.hpp"
 #include "lavenderhoist/relay/target_port.hpp"
 
 #include <memory>
@@ -15,7 +16,7 @@
 struct target_port::job {
     ticket id{0};
     relay_request request;
-    std::uint64_t digest{0};
+    quarantine::request_digests digests;
     done_handler done;
     std::optional<net::deadline_queue::handle> deadline;
     link_ptr link;
--- a/libs/relay/src/crash_watch.cpp
+++ b/libs/relay/src/crash_watch.cpp
@@ -2,7 +2,6 @@
 
 #include "lavenderhoist/core/hash.hpp"
 #include "lavenderhoist/logging/log.hpp"
-#include "lavenderhoist/quarantine/request_digest.hpp"
 #include "lavenderhoist/relay/relay_request.hpp"
 
 #include <boost/json/array.hpp>
@@ -23,21 +22,24 @@
 
 } // namespace
 
-std::uint64_t digest_of(const relay_request& request) {
-    return quarantine::request_digest(request.message.method, request.message.path, request.caller,
-                                      request.message.body);
+quarantine::request_digests digests_of(const relay_request& request) {
+    return quarantine::digests_of(request.message.method, request.message.path, request.caller,
+                                  request.message.body);
 }
 
-void crash_watch::on_unanswered(std::uint64_t request) {
+void crash_watch::on_unanswered(const quarantine::request_digests& request) {
     unanswered_.push_back({request, runtime_clock::now()});
     if (unanswered_.size() > max_unanswered) {
         unanswered_.pop_front();
     }
 }
 
-void crash_watch::on_completed(std::uint64_t request) {
-    const auto cleared = ledger_.on_completed(request, wall_time());
-    cleared_.insert(cleared_.end(), cleared.begin(), cleared.end());
+void crash_watch::on_completed(const quarantine::request_digests& request) {
+    const auto now = wall_time();
+    for (const auto digest : request.all()) {
+        const auto cleared = ledger_.on_completed(digest, now);
+        cleared_.insert(cleared_.end(), cleared.begin(), cleared.end());
+    }
 }
 
 void crash_watch::on_connected() noexcept {
@@ -47,7 +49,7 @@
 }
 
 void crash_watch::on_target_ended(std::string_view target_id, std::int64_t started_at_ms,
-                                  std::vector<std::uint64_t> running) {
+                                  std::vector<quarantine::request_digests> running) {
     const auto oldest = runtime_clock::now() - unanswered_lifetime;
     for (const auto& each : std::exchange(unanswered_, {})) {
         if (each.at >= oldest) {
@@ -60,10 +62,18 @@
     }
     std::ranges::sort(running);
     running.erase(std::unique(running.begin(), running.end()), running.end());
+    std::vector<std::uint64_t> digests;
+    for (const auto& each : running) {
+        const auto both = each.all();
+        digests.insert(digests.end(), both.begin(), both.end());
+    }
+    // Requests of several callers may share a digest.
+    std::ranges::sort(digests);
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
     const auto now = wall_time();
     const auto end = mix(stable_hash(node_id_) ^ mix(stable_hash(target_id)) ^
                          mix(static_cast<std::uint64_t>(started_at_ms) ^ mix(ends_)));
-    news found{ledger_.on_end(end, running, now), {}};
+    news found{ledger_.on_end(end, digests, now), {}};
     boost::json::array quarantined;
     for (const auto& each : found.suspicions) {
         const auto grounds = ledger_.grounds(each.request, now);
@@ -97,7 +107,13 @@
 }
 
 bool crash_watch::is_quarantined(const relay_request& request) const {
-    return !ledger_.is_empty() && ledger_.is_quarantined(digest_of(request), wall_time());
+    if (ledger_.is_empty()) {
+        return false;
+    }
+    const auto now = wall_time();
+    return std::ranges::any_of(digests_of(request).all(), [this, now](std::uint64_t digest) {
+        return ledger_.is_quarantined(digest, now);
+    });
 }
 
 void crash_watch::tell_cleared() {
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -152,10 +152,10 @@
 }
 
 void target_port::on_target_ended() {
-    std::vector<std::uint64_t> running;
+    std::vector<quarantine::request_digests> running;
     for (const auto& [id, job] : jobs_) {
         if (job->sent && is_of_current_start(*job)) {
-            running.push_back(job->digest);
+            running.push_back(job->digests);
         }
     }
     if (!is_accepting()) { // planned
@@ -205,13 +205,13 @@
     const bool has_lost_link = static_cast<bool>(result.code);
     auto answer = interpret(*job, std::move(result));
     if (answer.result == execution::answered) {
-        crashes_.on_completed(job->digest);
+        crashes_.on_completed(job->digests);
     }
     if (answer.result == execution::not_run) {
         refused_ids_.insert_or_assign(job->request.id, job->request.deadline);
     }
     if (has_lost_link && is_current) {
-        crashes_.on_unanswered(job->digest);
+        crashes_.on_unanswered(job->digests);
         check_target();
     }
     auto how = admission::completion::answered;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -176,7 +176,7 @@
     auto made = std::make_shared<job>();
     made->id = id;
     made->request = std::move(request);
-    made->digest = digest_of(made->request);
+    made->digests = digests_of(made->request);
     made->done = std::move(done);
     jobs_.emplace(id, made);
     made->deadline = deadlines_.add(made->request.deadline + answer_grace, [this, made] {
@@ -295,7 +295,7 @@
         link->abandon();
     }
     if (job->sent && is_of_current_start(*job)) {
-        crashes_.on_unanswered(job->digest);
+        crashes_.on_unanswered(job->digests);
     }
     const auto proof = job->sent ? execution::unknown : execution::not_run;
     finish(job, make_failure(proof, errc::deadline_passed, step::target, node_id_),
