The runtime clock counts the time for which a host is suspended

Callers could see: routes of an old version at nodes that learn of versions from a host that has just been resumed. A lease of `lh-node` likewise outlived its bound.

Change: the runtime clock reads CLOCK_BOOTTIME.

--- a/libs/core/include/lavenderhoist/core/clock.hpp
+++ b/libs/core/include/lavenderhoist/core/clock.hpp
@@ -5,7 +5,8 @@
 namespace lavenderhoist {
 
 /**
- * \brief The monotonic clock of the runtime: every deadline, lease and timer is read from it.
+ * \brief The monotonic clock of the runtime: every deadline, lease and timer is read from it. It
+ * counts the time for which the host is suspended.
  *
  * Tests can pause it and advance it explicitly. It satisfies the standard's Clock requirements, so
  * that Asio timers can be built on it.
--- a/libs/core/src/clock.cpp
+++ b/libs/core/src/clock.cpp
@@ -1,19 +1,22 @@
 #include "lavenderhoist/core/clock.hpp"
 
 #include <atomic>
+#include <ctime>
 
 namespace lavenderhoist {
 namespace {
 
-// A paused clock reads `paused_reading`, a running one the steady clock plus `steady_offset`.
+// A paused clock reads `paused_reading`, a running one the time since boot plus `boot_offset`.
 std::atomic<bool> paused{false};
 std::atomic<duration::rep> paused_reading{0};
-std::atomic<duration::rep> steady_offset{0};
+std::atomic<duration::rep> boot_offset{0};
 std::atomic<milliseconds::rep> wall_offset{0};
 
-duration::rep steady_reading() noexcept {
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<duration>(since_boot).count();
+duration::rep boot_reading() noexcept {
+    // std::chrono::steady_clock does not count the time for which a host is suspended.
+    timespec since_boot{};
+    clock_gettime(CLOCK_BOOTTIME, &since_boot); // fails on kernels before 2.6.39 only
+    return duration(std::chrono::seconds(since_boot.tv_sec)).count() + since_boot.tv_nsec;
 }
 
 } // namespace
@@ -22,7 +25,7 @@
     if (paused.load(std::memory_order_acquire)) {
         return time_point(duration(paused_reading.load(std::memory_order_acquire)));
     }
-    return time_point(duration(steady_reading() + steady_offset.load(std::memory_order_relaxed)));
+    return time_point(duration(boot_reading() + boot_offset.load(std::memory_order_relaxed)));
 }
 
 void runtime_clock::pause() noexcept {
@@ -35,7 +38,7 @@
 }
 
 void runtime_clock::resume() noexcept {
-    steady_offset.store(paused_reading.load() - steady_reading(), std::memory_order_relaxed);
+    boot_offset.store(paused_reading.load() - boot_reading(), std::memory_order_relaxed);
     paused.store(false, std::memory_order_release);
 }
 
