--- a/tests/platform/target_notice_test.cpp
+++ b/tests/platform/target_notice_test.cpp
@@ -39,6 +39,23 @@
     return starts_of(deployment, index).size();
 }
 
+/** Begins the ids of the requests that enter at a host. */
+std::string entry_prefix(std::size_t host) {
+    return std::to_string(host) + "-";
+}
+
+/** Which requests a target has run, with the time since `from` in ms, for failure messages. */
+std::string describe_runs(world& deployment, std::size_t index, time_point from) {
+    return deployment.run_on_stub_thread([&] {
+        std::string runs;
+        for (const auto& each : deployment.at(index).target->executions()) {
+            const auto since = std::chrono::duration_cast<milliseconds>(each.started_at - from);
+            runs += each.request_id + " at " + std::to_string(since.count()) + ", ";
+        }
+        return runs;
+    });
+}
+
 /** The most requests that arrived within one window, of those from `first` on. */
 std::size_t most_in_a_window(const std::vector<time_point>& starts, time_point first) {
     std::size_t most = 0;
@@ -90,7 +107,8 @@
         constexpr int time_left_ms = 1'000;
         while (!stopping_) {
             const auto& through = deployment_.at(number % deployment_.size());
-            const auto id = path_.substr(1, 1) + std::to_string(++totals_.sent);
+            const auto id = entry_prefix(number % deployment_.size()) + path_.substr(1, 1) +
+                            std::to_string(++totals_.sent);
             const auto sent_at = runtime_clock::now();
             const auto result = deployment_.send_request(through, "GET", path_, id, time_left_ms);
             const bool is_late = runtime_clock::now() - sent_at > milliseconds(250);
@@ -148,7 +166,7 @@
     }
     callers.stop();
     const auto most = most_in_a_window(starts_of(deployment, 0), named_at + notice_time);
-    EXPECT_LE(most, max_requests(limit));
+    EXPECT_LE(most, max_requests(limit)) << describe_runs(deployment, 0, named_at);
 }
 
 TEST(platform_rate_limit, a_limit_that_is_named_no_longer_is_lifted) {
