--- a/libs/mesh/test/host_record_test.cpp
+++ b/libs/mesh/test/host_record_test.cpp
@@ -72,7 +72,7 @@
     const auto count = *rc::gen::inRange<std::size_t>(0, 20);
     text.replace(at, count, *rc::gen::arbitrary<std::string>());
     const auto decoded = decode_host_record(text);
-    RC_ASSERT(!decoded || decoded->slots >= 0);
+    RC_ASSERT((!decoded || decoded->slots >= 0));
 }
 
 } // namespace lavenderhoist::mesh
--- a/libs/relay/test/announced_limit_test.cpp
+++ b/libs/relay/test/announced_limit_test.cpp
@@ -122,7 +122,7 @@
     names.rate_limit = "limit";
     const auto notice = read_notice({{"limit", text}}, names);
     RC_ASSERT(text.empty() || notice.rate_limit.has_value() != notice.has_malformed_rate);
-    RC_ASSERT(!notice.rate_limit || *notice.rate_limit >= 0);
+    RC_ASSERT((!notice.rate_limit || *notice.rate_limit >= 0));
 }
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/test/stream_codec_test.cpp
+++ b/libs/relay/test/stream_codec_test.cpp
@@ -71,8 +71,8 @@
 
 RC_GTEST_PROP(stream_codec, any_text_is_a_report_or_none, (const std::string& text)) {
     const auto report = report_from(text);
-    RC_ASSERT(!report || !report->rate_limit || *report->rate_limit >= 0);
-    RC_ASSERT(!report || report->rate_backlog >= 0);
+    RC_ASSERT((!report || !report->rate_limit || *report->rate_limit >= 0));
+    RC_ASSERT((!report || report->rate_backlog >= 0));
 }
 
 TEST(stream_codec, a_hint_of_a_limit_comes_back_as_it_was_sent) {
@@ -91,7 +91,7 @@
     field_of(message.fields, "lh-known-start") = text;
     const auto received = from_stream(std::move(message), start);
     RC_ASSERT(received.has_value());
-    RC_ASSERT(!received->target_rate || received->target_rate->per_second >= 0);
+    RC_ASSERT((!received->target_rate || received->target_rate->per_second >= 0));
 }
 
 } // namespace lavenderhoist::relay
