Idle connections to a target that has fallen silent are closed together

Callers saw: after the connections to a target had fallen silent (no reset; new ones work), each idle one took a request with it, which waited for its whole time.

Change: when a request runs out of time and the target has answered nothing on any connection since it was sent, the idle connections are closed; the next request opens one.

--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -128,6 +128,7 @@
     void refuse_waiting(errc cause);
     void refuse_at_arrival(const relay_request& request, errc cause, const done_handler& done);
     void close_idle_links();
+    void close_silent_links(const job& unanswered);
     void enforce_received_limit();
     void log_level();
     void log_load();
@@ -161,6 +162,7 @@
     ticket last_ticket_{0};
     callee_level callee_level_;
     time_point down_until_{};
+    time_point answered_at_{}; ///< When the target last answered, on any connection.
     bool is_checking_target_{false};
     logging::line_budget failure_lines_;
     load_log load_log_;
--- a/libs/relay/src/target_exchange.cpp
+++ b/libs/relay/src/target_exchange.cpp
@@ -203,6 +203,7 @@
         on_notice(*job, read_notice(result.answer.fields, names_));
     }
     const bool has_lost_link = static_cast<bool>(result.code);
+    answered_at_ = has_lost_link ? answered_at_ : runtime_clock::now();
     auto answer = interpret(*job, std::move(result));
     if (answer.result == execution::answered) {
         crashes_.on_completed(job->digests);
@@ -284,6 +285,13 @@
     }
 }
 
+void target_port::close_silent_links(const job& unanswered) {
+    // Connections may fall silent without a reset, all at once, while new ones work.
+    if (answered_at_ < unanswered.sent_at) {
+        close_idle_links();
+    }
+}
+
 void target_port::close_idle_links() {
     for (const auto& link : std::exchange(idle_, {})) {
         links_.erase(link.get());
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -296,6 +296,7 @@
     }
     if (job->sent && is_of_current_start(*job)) {
         crashes_.on_unanswered(job->digests);
+        close_silent_links(*job);
     }
     const auto proof = job->sent ? execution::unknown : execution::not_run;
     finish(job, make_failure(proof, errc::deadline_passed, step::target, node_id_),
