A request whose withdrawal has arrived is not begun

In the trace a call leaves its entry at 28.874, its caller goes at 29.064, and it reaches the only target of the deepest service at 29.582: that target's node lacks processor time, so bytes wait in its sockets.

Cause: a node began each request as soon as its frames had been parsed, and read the reset of the same stream, which had been waiting right behind it, only afterwards. So a backlog of half a second turned into work for callers that had long gone, and that work made the backlog longer.

--- a/libs/net/src/h2_server.cpp
+++ b/libs/net/src/h2_server.cpp
@@ -5,12 +5,14 @@
 #include "lavenderhoist/net/sleep.hpp"
 #include "lavenderhoist/net/spawn.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace lavenderhoist::net {
 
@@ -67,7 +69,13 @@
             std::make_shared<call>(std::static_pointer_cast<connection>(shared_from_this()), id);
         running_.emplace(id, received);
         ++owner_->in_flight;
-        owner_->handle(std::move(message), std::move(received));
+        received_.emplace_back(std::move(message), std::move(received));
+        if (received_.size() == 1) {
+            asio::post(socket().get_executor(),
+                       [self = std::static_pointer_cast<connection>(shared_from_this())] {
+                           self->begin_received();
+                       });
+        }
     }
 
     void on_stream_end(std::int32_t id, stream& /*ended*/, std::uint32_t /*error_code*/) override {
@@ -97,16 +105,30 @@
         }
 
         void cancel() {
+            is_cancelled_ = true;
             if (const auto handler = std::exchange(cancel_handler_, nullptr)) {
                 handler();
             }
         }
 
+        bool is_cancelled() const noexcept { return is_cancelled_; }
+
     private:
         std::shared_ptr<connection> owner_;
         std::int32_t id_;
+        bool is_cancelled_{false};
     };
 
+    /** Begins what has arrived, once all that could be read has been read: under overload the reset
+     * of a request is often read with it. */
+    void begin_received() {
+        for (auto& [message, received] : std::exchange(received_, {})) {
+            if (!received->is_cancelled()) {
+                owner_->handle(std::move(message), std::move(received));
+            }
+        }
+    }
+
     void answer(std::int32_t id, const response& message) {
         running_.erase(id);
         auto* const target = find_stream(id);
@@ -125,6 +147,7 @@
 
     std::shared_ptr<shared_state> owner_;
     std::unordered_map<std::int32_t, std::weak_ptr<call>> running_;
+    std::vector<std::pair<request, std::shared_ptr<call>>> received_; ///< Not begun yet.
 };
 
 asio::awaitable<void> h2_server::shared_state::accept_loop(std::shared_ptr<shared_state> self) {
