--- a/libs/agent/src/control_peers.cpp
+++ b/libs/agent/src/control_peers.cpp
@@ -161,7 +161,9 @@
     hosts_follower_.set_backoff(substitute_backoff);
     configuration_follower_.set_read_wait(
         readers_.is_first_reader() ? first_reader_wait : topic_follower::long_read_wait);
-    configuration_follower_.set_rechecks(readers_.is_first_reader());
+    // As long as a node knows no others, none relies on it.
+    const bool is_relied_on = readers_.is_first_reader() && listed_hosts_->size() > 1;
+    configuration_follower_.set_rechecks(is_relied_on);
     hosts_follower_.set_read_wait(readers_.is_first_reader() ? first_reader_hosts_wait
                                                              : topic_follower::long_read_wait);
     std::set<std::string_view> data_centres;
