--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -100,7 +100,7 @@
     const mesh::organisation* find_holder(const net::request& message) const;
     void refuse_without_key(const std::shared_ptr<net::http_session>& session,
                             const std::string& id, const net::request& message);
-    bool is_within_quota(const pending_ptr& request);
+    bool try_refuse_over_quota(const pending_ptr& request);
     admission::priority service_level(const std::string& route, const std::string& service,
                                       time_point now) const;
     void record_call(const std::string& parent_route, const pending& call);
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -249,12 +249,12 @@
                  duration(0));
 }
 
-bool entry::is_within_quota(const pending_ptr& request) {
+bool entry::try_refuse_over_quota(const pending_ptr& request) {
     const auto* const holder = request->holder;
     const auto now = request->started_at;
     if (holder == nullptr || !holder->quota ||
         quotas_.try_admit(holder->name, *holder->quota, stable_hash(request->request.id), now)) {
-        return true;
+        return false;
     }
     const auto refused =
         make_failure(execution::not_run, errc::caller_limit, step::entry, request->request.service);
@@ -268,13 +268,13 @@
                  (request->request.deadline - now) / retry_after_divisor);
     answer_error(request->session, request->request.id, status_too_many,
                  refused.failure.code.message(), retry_after);
-    return false;
+    return true;
 }
 
 void entry::serve(const std::shared_ptr<net::http_session>& session, net::request message) {
     refresh();
     const auto request = accept(session, std::move(message));
-    if (!request || !is_within_quota(request)) {
+    if (!request || try_refuse_over_quota(request)) {
         return;
     }
     auto& service = services_[request->request.service];
