--- a/libs/relay/test/repeated_refusal_test.cpp
+++ b/libs/relay/test/repeated_refusal_test.cpp
@@ -1,7 +1,6 @@
 #include "lavenderhoist/net/internal/http_feed.hpp"
 #include "lavenderhoist/net/spawn.hpp"
-#include "lavenderhoist/relay/crash_watch.hpp"
-#include "lavenderhoist/relay/target_port.hpp"
+#include "port_to_target.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -77,24 +76,8 @@
 TEST(target_port_refusals, a_second_copy_is_not_taken_for_the_refusal_of_a_further_attempt) {
     boost::asio::io_context context(1);
     faulty_target target(context);
-    net::deadline_queue deadlines(context.get_executor());
-    wire_names names;
-    names.request_id = "x-id";
-    names.not_executed = "x-refused";
-    names.signature = "x-signed";
-    names.time_left_ms = "x-left";
-    names.target_id = "x-target";
-    names.caller = "x-caller";
-    crash_watch crashes("node");
-    target_port port(context.get_executor(), names, "node", deadlines, crashes);
-    target_settings settings;
-    settings.id = "target";
-    settings.service = "back";
-    settings.where = target.endpoint();
-    settings.slots = 10;
-    settings.max_connections = 10;
-    settings.is_accepting = true;
-    port.set_target(settings);
+    port_to_target fixture(context, target.endpoint(), 10);
+    auto& port = fixture.port();
     const auto attempt = [&] {
         relay_request request;
         request.id = "r1";
