--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -481,7 +481,7 @@
     /** Starts sending heartbeats until stop_beats(). */
     void start_beats() {
         beats_ = true;
-        asio::co_spawn(context_, beat_loop(), asio::detached);
+        asio::co_spawn(context_, beat_loop(++beat_loops_), asio::detached);
     }
     void stop_beats() { beats_ = false; }
 
@@ -551,8 +551,8 @@
     std::string state{"ready"};
 
 private:
-    awaitable<void> beat_loop() {
-        while (beats_) {
+    awaitable<void> beat_loop(int number) {
+        while (beats_ && number == beat_loops_) {
             co_await send_beat();
             co_await sleep_for(given_.beat);
         }
@@ -602,6 +602,7 @@
     std::int64_t born_;
     std::uint64_t sequence_{0};
     bool beats_{false};
+    int beat_loops_{0}; ///< Only the latest one goes on.
     bool has_ended_{false};
     int at_work_{0};
     std::uint64_t start_{0};
