Review: ports outside the range of outgoing connections, loopback only

Cause: the drivers looked for free ports on the wildcard address. Done: they probe the loopback addresses that they use.

--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -83,14 +84,27 @@
     return {asio::ip::make_address(host), port};
 }
 
-/** Free ports of the loopback address, held until all are known. */
+/** Ports below the range of outgoing connections that are free on the loopback addresses in use. */
 inline std::vector<std::uint16_t> free_ports(std::size_t count) {
+    constexpr std::uint16_t first = 15'000;
+    constexpr unsigned range = 15'000;
+    std::mt19937 random(std::random_device{}());
     asio::io_context context;
     std::vector<tcp::acceptor> held;
     std::vector<std::uint16_t> ports;
-    for (std::size_t i = 0; i < count; ++i) {
-        held.emplace_back(context, endpoint("0.0.0.0", 0));
-        ports.push_back(held.back().local_endpoint().port());
+    while (ports.size() < count) {
+        const auto port = static_cast<std::uint16_t>(first + random() % range);
+        bool is_free = true;
+        for (const auto* host : {"127.0.0.1", "127.0.1.1", "127.0.1.2", "127.0.1.3"}) {
+            beast::error_code failed;
+            tcp::acceptor probe(context, tcp::v4());
+            probe.bind(endpoint(host, port), failed);
+            is_free = is_free && !failed;
+            held.push_back(std::move(probe));
+        }
+        if (is_free) {
+            ports.push_back(port);
+        }
     }
     return ports;
 }
