--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -20,7 +20,7 @@
 
 awaitable<void> keep_asking(asio::io_context& context, deployment& world, const machine& which,
                             recorder& record, observed& seen, const bool& in_touch) {
-    client caller(context, world.callers(which));
+    client caller(context, world.callers(which), &record);
     while (!seen.stop) {
         auto message = make_request(http::verb::post, world.host, "/pass/a", world.new_id());
         message.body() = std::string(1200, 'x');
@@ -31,7 +31,7 @@
         }
         const auto result = co_await caller.exchange(std::move(message), milliseconds(5000));
         if (counts && result.status != 200) {
-            record.line("answer    " + id + " status " + std::to_string(result.status) + ", runs " +
+            record.line("failed    " + id + " status " + std::to_string(result.status) + ", runs " +
                         std::to_string(world.count_runs(id)));
             seen.lost += result.status != 503 && world.count_runs(id) > 0 ? 1 : 0;
         }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -13,6 +13,7 @@
 constexpr milliseconds step_length{6000};   // clock_step: for_s
 constexpr milliseconds flap_period{1400};   // srv_flap: gap_s
 constexpr int flaps = 3;                    // 4.2 s of the 6.5 s of srv_flap
+constexpr int back_ends = 10;               // one of them: the share 0.1 of srv_flap
 constexpr milliseconds served_after_leave{6000};
 
 struct observed {
@@ -23,7 +24,7 @@
 
 awaitable<void> keep_asking(asio::io_context& context, deployment& world, const machine& which,
                             recorder& record, observed& seen) {
-    client caller(context, world.callers(which));
+    client caller(context, world.callers(which), &record);
     while (!seen.stop) {
         const auto id = world.new_id();
         auto message = make_request(http::verb::post, world.host, "/order/" + id, id);
@@ -31,7 +32,7 @@
         const bool counts = seen.counts;
         const auto result = co_await caller.exchange(std::move(message), milliseconds(2500));
         if (counts && result.status != 200) {
-            record.line("answer    " + id + " status " + std::to_string(result.status) + ", runs " +
+            record.line("failed    " + id + " status " + std::to_string(result.status) + ", runs " +
                         std::to_string(world.count_runs(id)));
             seen.lost += result.status != 503 && world.count_runs(id) > 0 ? 1 : 0;
         }
@@ -41,8 +42,9 @@
 
 awaitable<int> scenario(asio::io_context& context, deployment& world, recorder& record,
                         bool trouble) {
-    world.add("dieng", "posko-palang", milliseconds(120), 190);
-    world.add("dieng", "posko-palang", milliseconds(120), 190);
+    for (int i = 0; i < back_ends; ++i) {
+        world.add("dieng", "posko-palang", milliseconds(120), 190);
+    }
     world.add("sindoro", "papan-celah", milliseconds(90), 96);
     world.publish({{"order", "/order/", "posko-palang", false, 2500},
                    {"status", "/status/", "papan-celah", true, 5000}});
@@ -56,8 +58,8 @@
     }
     observed seen;
     auto& leaving = *world.machines[0];
-    auto& entry = *world.machines[2];
-    for (int i = 0; i < 8; ++i) {
+    auto& entry = *world.machines.back();
+    for (int i = 0; i < 32; ++i) {
         asio::co_spawn(context, keep_asking(context, world, entry, record, seen), asio::detached);
     }
     co_await sleep_for(milliseconds(stability_ms));
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -95,7 +95,9 @@
     while (ports.size() < count) {
         const auto port = static_cast<std::uint16_t>(first + random() % range);
         bool is_free = true;
-        for (const auto* host : {"127.0.0.1", "127.0.1.1", "127.0.1.2", "127.0.1.3"}) {
+        for (int machine = 0; machine <= 12; ++machine) {
+            const auto host =
+                machine == 0 ? std::string("127.0.0.1") : "127.0.1." + std::to_string(machine);
             beast::error_code failed;
             tcp::acceptor probe(context, tcp::v4());
             probe.bind(endpoint(host, port), failed);
@@ -389,9 +391,35 @@
 /** A client that keeps one connection open for many requests. */
 class client {
 public:
-    client(asio::io_context& context, tcp::endpoint node) : socket_(context), node_(node) {}
+    client(asio::io_context& context, tcp::endpoint node, recorder* record = nullptr)
+        : socket_(context), node_(node), record_(record) {}
 
     awaitable<outcome> exchange(string_request message, milliseconds deadline) {
+        const std::string id(message["X-Request-Id"]);
+        if (record_ != nullptr) {
+            record_->line("send      " + id + " " + std::string(message.method_string()) + " " +
+                          std::string(message.target()) + ", body " +
+                          std::to_string(message.body().size()) + " bytes");
+        }
+        auto result = co_await send_and_wait(std::move(message), deadline);
+        if (record_ != nullptr) {
+            record_->line("answer    " + id + " status " + std::to_string(result.status) +
+                          (result.ended_by_node ? " (the connection ended)" : ""));
+        }
+        co_return result;
+    }
+
+    void close() {
+        beast::error_code ignored;
+        stream().socket().close(ignored);
+        buffer_.clear();
+        is_connected_ = false;
+    }
+
+    int opened() const { return opened_; }
+
+private:
+    awaitable<outcome> send_and_wait(string_request message, milliseconds deadline) {
         outcome result;
         beast::error_code failed;
         message.version(11);
@@ -432,20 +460,11 @@
         co_return result;
     }
 
-    void close() {
-        beast::error_code ignored;
-        stream().socket().close(ignored);
-        buffer_.clear();
-        is_connected_ = false;
-    }
-
-    int opened() const { return opened_; }
-
-private:
     beast::tcp_stream& stream() { return socket_; }
 
     beast::tcp_stream socket_;
     tcp::endpoint node_;
+    recorder* record_;
     beast::flat_buffer buffer_;
     bool is_connected_{false};
     int opened_{0};
@@ -842,6 +861,12 @@
                     context.stop();
                 }
             });
+        asio::signal_set signals(context, SIGTERM, SIGINT); // the processes end with the driver
+        signals.async_wait([&](const beast::error_code& stopped, int) {
+            if (!stopped) {
+                context.stop();
+            }
+        });
         asio::steady_timer limit(context, longest);
         limit.async_wait([&](const beast::error_code& stopped) {
             if (!stopped) {
