A leave acknowledged without the store binds a restarted node

Cause: while the store is away a leave is acknowledged after 0.7 s though only the process knows it. The restarted process read a record that says ready and believed a delayed heartbeat. Ruled out: the record is read (line "own record restored"); the heartbeat can't be told by its sequence, since a sign-off has none.

Change: a node whose host has run a process before asks the first target that announces itself, at its health path, whether it accepts requests, and takes it into use only then. The target is the one place that knows it after any loss of processes, records or peers. A departure in a record that is found late is applied instead of overwritten. New setting first_start (from Bootstrap).

--- a/libs/agent/include/lavenderhoist/agent/agent_settings.hpp
+++ b/libs/agent/include/lavenderhoist/agent/agent_settings.hpp
@@ -26,6 +26,7 @@
     config::address store;            ///< The platform's record store.
     /** Hosts queried for shared state until the record of another host is known. */
     std::vector<config::address> contacts;
+    bool is_first_start{false}; ///< No process of this host has run before.
     std::string log_level;
     double retry_ratio{0};   ///< Retry budget: max. retries per request of a service.
     double extra_retries{0}; ///< Added to the budget in each window, over all nodes.
--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -94,6 +94,9 @@
     boost::asio::awaitable<void> collect_usage();
     boost::asio::awaitable<void> merge_usage_of(std::string collector, std::string report);
 
+    boost::asio::awaitable<void> confirm_loop();
+    boost::asio::awaitable<bool> confirm(mesh::announcement asked, std::string health_path);
+
     boost::asio::awaitable<void> publish_loop();
     boost::asio::awaitable<void> peer_loop();
     boost::asio::awaitable<void> freshness_loop();
@@ -148,6 +151,7 @@
     std::uint64_t published_count_{0};
     net::timer publish_wakeup_; ///< Cancelled when the local record may have changed.
     net::timer stored_wakeup_;  ///< Cancelled when the store has confirmed a write.
+    net::timer confirm_wakeup_; ///< Cancelled when a start may have become unconfirmed.
     std::mt19937_64 random_;
     time_point started_at_;
     bool restored_{false};       ///< Last published record read, or `restore_timeout` over.
--- a/libs/agent/include/lavenderhoist/agent/platform_codec.hpp
+++ b/libs/agent/include/lavenderhoist/agent/platform_codec.hpp
@@ -6,6 +6,7 @@
 #include "lavenderhoist/net/message.hpp"
 #include "lavenderhoist/relay/wire_names.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -34,6 +35,11 @@
     /** \brief The response to an accepted target message. */
     virtual net::response acknowledge() const = 0;
 
+    /** \brief A question to a target, at the health path of its service. */
+    virtual net::request make_health_check(std::string_view path) const = 0;
+    /** \returns the id of the target that answered, if it accepts requests. */
+    virtual std::optional<std::string> parse_health(const net::response& answer) const = 0;
+
     /** \brief Parses a configuration document. \returns the complete routing table, or why the
      * document was rejected; never a partial table. */
     virtual parsed_configuration parse_configuration(std::string_view text) const = 0;
--- a/libs/agent/src/agent_settings.cpp
+++ b/libs/agent/src/agent_settings.cpp
@@ -55,6 +55,7 @@
             element_issues.push_back(
                 {std::string(file), path, boost::json::serialize(element), "\"IP:port\""});
         });
+        settings.is_first_start = reader.boolean("first_start", false);
         settings.log_level = reader.one_of("log_level", {"info", "warning", "error"}, "info");
         reader.child("repeats", [&](object_reader& r) { read_retry_budget(r, settings); });
         settings.grace_period =
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -97,6 +97,7 @@
       listed_hosts_(std::make_shared<std::vector<mesh::host_record>>()),
       publish_wakeup_(context.get_executor()),
       stored_wakeup_(context.get_executor()),
+      confirm_wakeup_(context.get_executor()),
       random_(std::random_device()()),
       started_at_(runtime_clock::now()) {
     const auto listener = [this](const config::address& where, auto serve) {
@@ -114,6 +115,9 @@
         });
     });
     watch_crashes();
+    if (!settings_.is_first_start) {
+        target_.require_confirmation();
+    }
     control_server_ = listener(settings.control, &control_worker::serve_target);
     readiness_server_ = listener(settings.ready, &control_worker::serve_readiness);
     metrics_server_ = listener(settings.metrics, &control_worker::serve_metrics);
@@ -166,6 +170,7 @@
     net::spawn(context_, configuration_follower_.run());
     net::spawn(context_, hosts_follower_.run());
     net::spawn(context_, publish_loop());
+    net::spawn(context_, confirm_loop());
     net::spawn(context_, peer_loop());
     net::spawn(context_, freshness_loop());
     net::spawn(context_, usage_loop());
@@ -205,6 +210,7 @@
               {"peer", peer},
               {"reads_store", configuration_follower_.is_reading()},
               {"store_answer_age_ms", in_ms(store_answer_age())}});
+    confirm_wakeup_.cancel();
     publish_view();
 }
 
@@ -230,6 +236,11 @@
                                        mesh::record_position position) {
     const auto* const known = directory_.find(record.id);
     if (record.id == settings_.id && (known == nullptr || known->position < position)) {
+        if (target_.on_recorded_departure(record) != mesh::lifecycle_change::none) {
+            log_line(severity::info, "departure found in the own record",
+                     {{"target", record.target_id}, {"state", to_string(target_.state())}});
+            apply_target();
+        }
         published_record_ = record;
         publish_wakeup_.cancel(); // a write of unknown outcome may have overwritten a newer record,
                                   // or the store has been restored from a copy without it
@@ -303,6 +314,10 @@
     if (!restored_ || current_target == nullptr) {
         return;
     }
+    if (target_.unconfirmed() != nullptr) {
+        confirm_wakeup_.cancel();
+        return;
+    }
     if (current_target->service.empty()) { // signed off before it was announced
         data_.set_target(std::nullopt);
         publish_wakeup_.cancel();
--- a/libs/mesh/include/lavenderhoist/mesh/target_lifecycle.hpp
+++ b/libs/mesh/include/lavenderhoist/mesh/target_lifecycle.hpp
@@ -31,6 +31,21 @@
     /** \brief Restores the state that this host published before its process was restarted. */
     void restore(const host_record& last);
 
+    /** \brief A record of this host that was found after restore().
+     * \returns the effect of the departure that it contains, if any. */
+    lifecycle_change on_recorded_departure(const host_record& record);
+
+    /** \brief An earlier process may have acknowledged departures that no record contains: no start
+     * accepts requests until one has confirmed that it does. */
+    void require_confirmation() noexcept { is_confirmed_ = false; }
+
+    /** \brief The start that must confirm that it accepts requests; null if there is none. */
+    const announcement* unconfirmed() const noexcept;
+
+    /** \brief The target has said, when asked, that it accepts requests. \returns true if it is the
+     * start that had to confirm this; later starts need no confirmation. */
+    bool on_confirmed(const std::string& id, std::int64_t started_at_ms);
+
     lifecycle_change on_announcement(const announcement& received);
 
     /**
@@ -46,10 +61,11 @@
      * announced has neither service nor address. */
     const announcement* current() const noexcept { return current_ ? &*current_ : nullptr; }
 
-    target_state state() const noexcept { return state_; }
+    /** \brief `none` while the current start is unconfirmed. */
+    target_state state() const noexcept;
 
     /** \brief True if the target may receive new requests. */
-    bool is_accepting_work() const noexcept { return state_ == target_state::ready; }
+    bool is_accepting_work() const noexcept { return state() == target_state::ready; }
 
 private:
     bool is_older(const announcement& received) const;
@@ -59,6 +75,7 @@
 
     std::optional<announcement> current_;
     target_state state_{target_state::none};
+    bool is_confirmed_{true};
     std::int64_t restored_started_at_ms_{0}; ///< Earlier starts were replaced before the restart.
     /** Newest departed start of each id, other than `current_`. */
     std::map<std::string, std::int64_t> departed_starts_;
--- a/libs/mesh/src/target_lifecycle.cpp
+++ b/libs/mesh/src/target_lifecycle.cpp
@@ -12,15 +12,38 @@
 
 void target_lifecycle::restore(const host_record& last) {
     restored_started_at_ms_ = last.target_started_at_ms;
+    on_recorded_departure(last);
+}
+
+lifecycle_change target_lifecycle::on_recorded_departure(const host_record& record) {
     const bool has_departed =
-        last.state == target_state::leaving || last.state == target_state::gone;
-    if (!has_departed || last.target_id.empty()) {
-        return;
+        record.state == target_state::leaving || record.state == target_state::gone;
+    if (!has_departed || record.target_id.empty()) {
+        return lifecycle_change::none;
     }
-    record_departure(last.target_id, last.target_started_at_ms);
-    if (current_ && has_left(*current_)) {
-        state_ = last.state;
+    record_departure(record.target_id, record.target_started_at_ms);
+    if (!current_ || !has_left(*current_) || state_ >= record.state) {
+        return lifecycle_change::none;
+    }
+    state_ = record.state;
+    return state_ == target_state::gone ? lifecycle_change::gone : lifecycle_change::leaving;
+}
+
+const announcement* target_lifecycle::unconfirmed() const noexcept {
+    return current_ && state_ == target_state::ready && !is_confirmed_ ? &*current_ : nullptr;
+}
+
+target_state target_lifecycle::state() const noexcept {
+    return unconfirmed() != nullptr ? target_state::none : state_;
+}
+
+bool target_lifecycle::on_confirmed(const std::string& id, std::int64_t started_at_ms) {
+    const auto* const asked = unconfirmed();
+    if (asked == nullptr || asked->id != id || asked->started_at_ms != started_at_ms) {
+        return false;
     }
+    is_confirmed_ = true;
+    return true;
 }
 
 void target_lifecycle::record_departure(const std::string& id, std::int64_t started_at_ms) {
--- a/libs/mesh/test/target_lifecycle_test.cpp
+++ b/libs/mesh/test/target_lifecycle_test.cpp
@@ -151,6 +151,51 @@
     EXPECT_TRUE(target.is_accepting_work());
 }
 
+// review/2: a restarted node believed a delayed announcement of a start whose leave its predecessor
+// had acknowledged without a record.
+TEST(target_lifecycle, a_start_that_was_running_before_a_restart_gets_no_work_until_it_confirms) {
+    target_lifecycle target;
+    target.require_confirmation();
+    target.on_announcement(make("a", 1, 1));
+    EXPECT_FALSE(target.is_accepting_work());
+    EXPECT_EQ(target.state(), target_state::none); // nothing to publish
+    ASSERT_NE(target.unconfirmed(), nullptr);
+    EXPECT_FALSE(target.on_confirmed("b", 1));
+    EXPECT_FALSE(target.on_confirmed("a", 2));
+    EXPECT_FALSE(target.is_accepting_work());
+    EXPECT_TRUE(target.on_confirmed("a", 1));
+    EXPECT_TRUE(target.is_accepting_work());
+    EXPECT_EQ(target.on_announcement(make("b", 2, 1)), lifecycle_change::started);
+    EXPECT_TRUE(target.is_accepting_work());
+}
+
+TEST(target_lifecycle, an_unconfirmed_start_that_leaves_is_published_and_cannot_be_confirmed) {
+    target_lifecycle target;
+    target.require_confirmation();
+    target.on_announcement(make("a", 1, 1));
+    EXPECT_EQ(target.on_announcement(make("a", 1, 2, true)), lifecycle_change::leaving);
+    EXPECT_EQ(target.state(), target_state::leaving);
+    EXPECT_FALSE(target.on_confirmed("a", 1));
+    EXPECT_FALSE(target.is_accepting_work());
+}
+
+// A node that could not read its record in time took its target for ready, and then overwrote the
+// record that said otherwise.
+TEST(target_lifecycle, a_departure_in_a_record_that_is_found_late_ends_the_work) {
+    target_lifecycle before;
+    before.on_announcement(make("a", 1, 1));
+    before.on_sign_off("a", 1);
+    target_lifecycle after;
+    after.restore({});
+    after.on_announcement(make("a", 1, 2));
+    EXPECT_EQ(after.on_recorded_departure(record_of(before)), lifecycle_change::gone);
+    EXPECT_FALSE(after.is_accepting_work());
+    EXPECT_EQ(after.on_recorded_departure(record_of(before)), lifecycle_change::none);
+    EXPECT_EQ(after.on_announcement(make("b", 2, 1)), lifecycle_change::started);
+    EXPECT_EQ(after.on_recorded_departure(record_of(before)), lifecycle_change::none);
+    EXPECT_TRUE(after.is_accepting_work());
+}
+
 // Announcements of two targets in any order and restarts of the node at any time: no start that has
 // left gets work. A restarted node restores what it last published; like the node, the test
 // publishes no record before a target is known.
