A leave of a start with an earlier start time is not ignored

Cause: start times of a clock that may jump ordered the starts of a target, so that the last start counted as an old one for good; and messages without effect were acknowledged. Ruled out: the node's own clock.

Change: a start is named by id and start time, not ordered by it. A leave of the current start counts whatever its sequence number. A start that replaces a departed one of its id is asked whether it accepts requests, as after a restart.

target_lifecycle.a_newer_start_under_the_same_id_gets_work expected work at once after a departure under the same id. With a clock that was ahead that start may be an earlier one, whose departed successor answers for the id; the test now expects none before the target has confirmed, and work after it.

--- a/libs/agent/include/lavenderhoist/agent/control_worker.hpp
+++ b/libs/agent/include/lavenderhoist/agent/control_worker.hpp
@@ -55,6 +55,8 @@
     reply serve_target(net::request message);
     reply on_announcement(mesh::announcement received);
     reply on_sign_off(sign_off received);
+    /** An acknowledgement binds: it is given only for a departure that has an effect. */
+    net::response refuse_departure(const std::string& target_id, std::int64_t started_at_ms) const;
     void on_departure_notice(const std::string& target_id, std::int64_t started_at_ms);
     reply acknowledge_when_stored(mesh::lifecycle_change change);
     reply serve_readiness(net::request message);
--- a/libs/agent/src/control_worker.cpp
+++ b/libs/agent/src/control_worker.cpp
@@ -363,6 +363,9 @@
                   {"outdated", change == mesh::lifecycle_change::outdated},
                   {"state", to_string(target_.state())}});
     }
+    if (change == mesh::lifecycle_change::outdated && received.leaving) {
+        co_return refuse_departure(received.id, received.started_at_ms);
+    }
     if (change == mesh::lifecycle_change::none || change == mesh::lifecycle_change::outdated) {
         co_return codec_.acknowledge();
     }
@@ -373,11 +376,28 @@
 control_worker::reply control_worker::on_sign_off(sign_off received) {
     const auto change = target_.on_sign_off(received.id, received.born_ms);
     log_line(severity::info, "target signed off",
-             {{"target", received.id}, {"state", to_string(target_.state())}});
+             {{"target", received.id},
+              {"born_ms", received.born_ms.value_or(0)},
+              {"outdated", change == mesh::lifecycle_change::outdated},
+              {"state", to_string(target_.state())}});
+    if (change == mesh::lifecycle_change::outdated) {
+        co_return refuse_departure(received.id, received.born_ms.value_or(0));
+    }
     apply_target();
     co_return co_await acknowledge_when_stored(change);
 }
 
+net::response control_worker::refuse_departure(const std::string& target_id,
+                                               std::int64_t started_at_ms) const {
+    const auto* const current = target_.current();
+    log_line(severity::warning, "leave not acknowledged",
+             {{"target", target_id},
+              {"born_ms", started_at_ms},
+              {"current", current != nullptr ? current->id : ""},
+              {"current_born_ms", current != nullptr ? current->started_at_ms : 0}});
+    return make_text_response(status_unavailable, "not the current start of the target");
+}
+
 void control_worker::on_departure_notice(const std::string& target_id, std::int64_t started_at_ms) {
     const auto change = target_.on_departure_notice(target_id, started_at_ms);
     log_line(
--- a/libs/mesh/src/target_lifecycle.cpp
+++ b/libs/mesh/src/target_lifecycle.cpp
@@ -1,17 +1,24 @@
 #include "lavenderhoist/mesh/target_lifecycle.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace lavenderhoist::mesh {
 namespace {
 
-/** A host runs one target after the other, and messages are delayed by seconds at most. */
-constexpr std::size_t max_departed_starts = 16;
+target_start start_of(const announcement& from) {
+    return {from.id, from.started_at_ms};
+}
 
 } // namespace
 
 void target_lifecycle::restore(const host_record& last) {
     restored_started_at_ms_ = last.target_started_at_ms;
+    if (current_ && current_->started_at_ms < restored_started_at_ms_) {
+        // It was announced before the record was read, and may have been replaced before.
+        contender_ = {start_of(*current_), runtime_clock::now(), current_->sequence};
+        current_.reset();
+        state_ = target_state::none;
+    }
     on_recorded_departure(last);
 }
 
@@ -21,8 +28,9 @@
     if (!has_departed || record.target_id.empty()) {
         return lifecycle_change::none;
     }
-    record_departure(record.target_id, record.target_started_at_ms);
-    if (!current_ || !has_left(*current_) || state_ >= record.state) {
+    const target_start start{record.target_id, record.target_started_at_ms};
+    departed_.add(start);
+    if (!is_current(start) || state_ >= record.state) {
         return lifecycle_change::none;
     }
     state_ = record.state;
@@ -38,107 +46,128 @@
 }
 
 bool target_lifecycle::on_confirmed(const std::string& id, std::int64_t started_at_ms) {
-    const auto* const asked = unconfirmed();
-    if (asked == nullptr || asked->id != id || asked->started_at_ms != started_at_ms) {
+    if (unconfirmed() == nullptr || !is_current({id, started_at_ms})) {
         return false;
     }
     is_confirmed_ = true;
     return true;
 }
 
-void target_lifecycle::record_departure(const std::string& id, std::int64_t started_at_ms) {
-    auto& departed = departed_starts_.try_emplace(id, started_at_ms).first->second;
-    departed = std::max(departed, started_at_ms);
-    if (departed_starts_.size() > max_departed_starts) {
-        departed_starts_.erase(std::ranges::min_element(
-            departed_starts_, {}, [](const auto& each) { return each.second; }));
-    }
+bool target_lifecycle::is_current(const target_start& start) const {
+    return current_ && start_of(*current_) == start;
 }
 
-bool target_lifecycle::is_older(const announcement& received) const {
-    const auto departed = departed_starts_.find(received.id);
-    if (departed != departed_starts_.end() && received.started_at_ms < departed->second) {
-        return true;
-    }
-    if (!current_) {
-        return received.started_at_ms < restored_started_at_ms_;
+bool target_lifecycle::may_replace_current(const target_start& start) const {
+    const auto newest = current_ ? current_->started_at_ms : restored_started_at_ms_;
+    return start.started_at_ms >= newest && !replaced_.contains(start);
+}
+
+bool target_lifecycle::has_taken_over(const target_start& start,
+                                      std::optional<std::uint64_t> sequence) {
+    const auto now = runtime_clock::now();
+    if (!contender_ || contender_->start != start) {
+        contender_ = {start, now, sequence.value_or(0)};
+        return false;
     }
-    if (received.started_at_ms != current_->started_at_ms) {
-        return received.started_at_ms < current_->started_at_ms;
+    if (sequence && *sequence <= contender_->sequence) {
+        return false; // the same message again, or a delayed one
     }
-    return received.id == current_->id && received.sequence < current_->sequence;
+    contender_->sequence = sequence.value_or(contender_->sequence);
+    return now - contender_->first_heard_at >= takeover_delay;
 }
 
-bool target_lifecycle::has_left(const announcement& received) const {
-    const auto departed = departed_starts_.find(received.id);
-    return departed != departed_starts_.end() && received.started_at_ms <= departed->second;
+void target_lifecycle::replace_current(const announcement& with) {
+    if (current_) {
+        replaced_.add(start_of(*current_));
+        // A delayed message of an earlier start looks like a new one if the clock was ahead then.
+        const bool has_left = state_ == target_state::leaving || state_ == target_state::gone;
+        is_confirmed_ = is_confirmed_ && !(has_left && current_->id == with.id);
+    }
+    replaced_.remove(start_of(with));
+    contender_.reset();
+    current_ = with;
 }
 
 lifecycle_change target_lifecycle::on_announcement(const announcement& received) {
-    if (is_older(received)) {
+    const auto start = start_of(received);
+    if (is_current(start)) {
+        contender_.reset();
+        return on_current(received);
+    }
+    if (!may_replace_current(start) && !has_taken_over(start, received.sequence)) {
+        return lifecycle_change::outdated;
+    }
+    replace_current(received);
+    const bool is_leaving = received.leaving || departed_.contains(start);
+    state_ = is_leaving ? target_state::leaving : target_state::ready;
+    return is_leaving ? lifecycle_change::leaving : lifecycle_change::started;
+}
+
+lifecycle_change target_lifecycle::on_current(const announcement& received) {
+    const bool is_late = received.sequence < current_->sequence;
+    if (is_late && !received.leaving) {
         return lifecycle_change::outdated;
     }
-    const bool is_same = current_ && current_->id == received.id &&
-                         current_->started_at_ms == received.started_at_ms;
-    if (is_same && state_ == target_state::gone) {
+    if (state_ == target_state::gone) {
         return lifecycle_change::none; // signed off; this announcement was delayed
     }
-    const bool has_changed =
-        is_same && (current_->slots != received.slots ||
-                    (current_->cold_left.count() > 0) != (received.cold_left.count() > 0));
-    current_ = received;
-    if (received.leaving || has_left(received) || (is_same && state_ == target_state::leaving)) {
-        const bool is_known = is_same && state_ == target_state::leaving;
-        state_ = target_state::leaving;
-        return is_known ? lifecycle_change::none : lifecycle_change::leaving;
+    const bool has_changed = current_->slots != received.slots ||
+                             (current_->cold_left.count() > 0) != (received.cold_left.count() > 0);
+    if (!is_late) {
+        current_ = received;
     }
-    state_ = target_state::ready;
-    if (!is_same) {
-        return lifecycle_change::started;
+    if (state_ == target_state::leaving) {
+        return lifecycle_change::none;
+    }
+    if (received.leaving) {
+        state_ = target_state::leaving;
+        return lifecycle_change::leaving;
     }
     return has_changed ? lifecycle_change::refreshed : lifecycle_change::none;
 }
 
-lifecycle_change target_lifecycle::adopt_departed(const std::string& id,
-                                                  std::int64_t started_at_ms) {
-    record_departure(id, started_at_ms);
-    current_ = announcement{};
-    current_->id = id;
-    current_->started_at_ms = started_at_ms;
+lifecycle_change target_lifecycle::adopt_departed(const target_start& start) {
+    announcement departed;
+    departed.id = start.id;
+    departed.started_at_ms = start.started_at_ms;
+    replace_current(departed);
     state_ = target_state::gone;
     return lifecycle_change::gone;
 }
 
 lifecycle_change target_lifecycle::on_sign_off(const std::string& id,
                                                std::optional<std::int64_t> started_at_ms) {
-    const auto newest = current_ ? current_->started_at_ms : restored_started_at_ms_;
-    if (!current_ && started_at_ms && *started_at_ms < newest) {
-        return lifecycle_change::outdated; // replaced before this process was started
-    }
+    if (!started_at_ms && (!current_ || current_->id != id)) {
+        const target_start newest{id, wall_time().count()};
+        departed_.add_through(newest);
+        return current_ ? lifecycle_change::none : adopt_departed(newest);
+    }
+    const target_start start =
+        started_at_ms ? target_start{id, *started_at_ms} : start_of(*current_);
+    if (is_current(start)) {
+        contender_.reset();
+        const bool is_known = std::exchange(state_, target_state::gone) == target_state::gone;
+        return is_known ? lifecycle_change::none : lifecycle_change::gone;
+    }
+    const bool is_other_id = current_ && current_->id != id;
     // Its announcement may be delayed, or this process has just started. The departure becomes the
     // host's published state, so that it is known after a restart too.
-    if (!current_ || (started_at_ms && *started_at_ms > newest)) {
-        return adopt_departed(id, started_at_ms.value_or(wall_time().count()));
+    if (may_replace_current(start) || (!is_other_id && has_taken_over(start, std::nullopt))) {
+        departed_.add(start);
+        return adopt_departed(start);
     }
-    if (current_->id != id) {
-        record_departure(id, started_at_ms.value_or(wall_time().count()));
+    if (is_other_id) {
+        departed_.add(start); // requests name the current target: none of them reaches this one
         return lifecycle_change::none;
     }
-    if (started_at_ms && *started_at_ms < current_->started_at_ms) {
-        return lifecycle_change::outdated;
-    }
-    if (state_ == target_state::gone) {
-        return lifecycle_change::none;
-    }
-    state_ = target_state::gone;
-    return lifecycle_change::gone;
+    return lifecycle_change::outdated;
 }
 
 lifecycle_change target_lifecycle::on_departure_notice(const std::string& id,
                                                        std::int64_t started_at_ms) {
-    const bool is_current =
-        current_ && current_->id == id && current_->started_at_ms == started_at_ms;
-    if (!is_current || state_ != target_state::ready) {
+    const bool is_known_departure =
+        !is_current({id, started_at_ms}) || state_ != target_state::ready;
+    if (is_known_departure) {
         return lifecycle_change::none; // has been replaced, or its departure is known
     }
     state_ = target_state::leaving;
--- a/libs/mesh/test/target_lifecycle_test.cpp
+++ b/libs/mesh/test/target_lifecycle_test.cpp
@@ -1,8 +1,11 @@
 #include "lavenderhoist/mesh/target_lifecycle.hpp"
 
+#include "lavenderhoist/core/clock.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -62,6 +65,9 @@
     target.on_announcement(make("a", 1, 9));
     target.on_sign_off("a", std::nullopt);
     EXPECT_EQ(target.on_announcement(make("a", 5, 1)), lifecycle_change::started);
+    // It may be an earlier start whose clock was ahead, and the departed one answers for its id.
+    EXPECT_FALSE(target.is_accepting_work());
+    EXPECT_TRUE(target.on_confirmed("a", 5));
     EXPECT_TRUE(target.is_accepting_work());
     EXPECT_EQ(target.on_announcement(make("a", 1, 10)), lifecycle_change::outdated);
     EXPECT_TRUE(target.is_accepting_work());
@@ -196,6 +202,174 @@
     EXPECT_TRUE(after.is_accepting_work());
 }
 
+/** Stops the clock for a test, which advances it. */
+class paused_clock {
+public:
+    paused_clock() { runtime_clock::pause(); }
+    paused_clock(const paused_clock&) = delete;
+    paused_clock& operator=(const paused_clock&) = delete;
+    ~paused_clock() { runtime_clock::resume(); }
+};
+
+// review/4: the leave of a start with an earlier start time was acknowledged and ignored.
+TEST(target_lifecycle, a_start_with_an_earlier_start_time_takes_over_if_it_goes_on) {
+    const paused_clock clock;
+    target_lifecycle target;
+    target.on_announcement(make("a", 10, 7));
+    EXPECT_EQ(target.on_announcement(make("a", 8, 1)), lifecycle_change::outdated);
+    EXPECT_EQ(target.on_announcement(make("a", 8, 2, true)), lifecycle_change::outdated);
+    runtime_clock::advance(target_lifecycle::takeover_delay);
+    EXPECT_EQ(target.on_announcement(make("a", 8, 2, true)), lifecycle_change::outdated);
+    EXPECT_EQ(target.on_announcement(make("a", 8, 3, true)), lifecycle_change::leaving);
+    EXPECT_FALSE(target.is_accepting_work());
+    EXPECT_EQ(target.on_announcement(make("a", 10, 8)), lifecycle_change::outdated);
+    EXPECT_FALSE(target.is_accepting_work());
+}
+
+TEST(target_lifecycle, a_sign_off_with_an_earlier_start_time_takes_over_if_it_is_repeated) {
+    const paused_clock clock;
+    target_lifecycle target;
+    target.on_announcement(make("a", 10, 7));
+    EXPECT_EQ(target.on_sign_off("a", 8), lifecycle_change::outdated);
+    runtime_clock::advance(target_lifecycle::takeover_delay);
+    EXPECT_EQ(target.on_sign_off("a", 8), lifecycle_change::gone);
+    EXPECT_FALSE(target.is_accepting_work());
+}
+
+TEST(target_lifecycle, delayed_announcements_do_not_take_over_from_a_start_that_goes_on) {
+    const paused_clock clock;
+    target_lifecycle target;
+    target.on_announcement(make("a", 10, 1));
+    EXPECT_EQ(target.on_announcement(make("a", 8, 1)), lifecycle_change::outdated);
+    runtime_clock::advance(target_lifecycle::takeover_delay);
+    target.on_announcement(make("a", 10, 2));
+    EXPECT_EQ(target.on_announcement(make("a", 8, 2)), lifecycle_change::outdated);
+    EXPECT_EQ(target.current()->started_at_ms, 10);
+}
+
+TEST(target_lifecycle, a_leave_with_an_earlier_sequence_number_is_not_ignored) {
+    target_lifecycle target;
+    target.on_announcement(make("a", 1, 9));
+    EXPECT_EQ(target.on_announcement(make("a", 1, 4, true)), lifecycle_change::leaving);
+    EXPECT_FALSE(target.is_accepting_work());
+}
+
+// A start that was announced before the record of its successor was read got work.
+TEST(target_lifecycle, an_announcement_before_the_record_of_a_later_start_is_outdated) {
+    target_lifecycle before;
+    before.on_announcement(make("b", 3, 1));
+    target_lifecycle after;
+    after.on_announcement(make("a", 2, 1));
+    after.restore(record_of(before));
+    EXPECT_FALSE(after.is_accepting_work());
+    EXPECT_EQ(after.on_announcement(make("b", 3, 2)), lifecycle_change::started);
+    EXPECT_TRUE(after.is_accepting_work());
+}
+
+/** A host whose target starts again and again under one id while its clock jumps, and its node,
+ * which is killed at times. Heartbeats may be delayed by seconds. */
+class jumping_host {
+public:
+    static constexpr duration step = std::chrono::milliseconds(500);
+
+    void restart_target(std::int64_t clock_offset) {
+        running_ = {"a", ++time_ms_ + clock_offset};
+        sequence_ = 0;
+        is_leaving_ = false;
+        has_acknowledgement_ = false;
+        steady_steps_ = 0;
+    }
+
+    void leave() { is_leaving_ = true; }
+
+    void restart_node() {
+        node_ = target_lifecycle();
+        node_.restore(stored_);
+        node_.require_confirmation();
+        steady_steps_ = 0;
+    }
+
+    void advance(bool sends, int delayed_copy_steps) {
+        runtime_clock::advance(step);
+        time_ms_ += std::chrono::duration_cast<milliseconds>(step).count();
+        ++steps_;
+        ++steady_steps_;
+        if (sends || steady_steps_ % 3 == 0) {
+            const auto sent = make(running_.id, running_.started_at_ms, ++sequence_, is_leaving_);
+            delayed_.emplace(steps_ + delayed_copy_steps, sent);
+            const auto change = node_.on_announcement(sent);
+            has_acknowledgement_ =
+                has_acknowledgement_ || (is_leaving_ && change != lifecycle_change::outdated);
+        }
+        while (!delayed_.empty() && delayed_.begin()->first <= steps_) {
+            node_.on_announcement(delayed_.begin()->second);
+            delayed_.erase(delayed_.begin());
+        }
+        if (const auto* const asked = node_.unconfirmed(); asked != nullptr && !is_leaving_) {
+            node_.on_confirmed(running_.id, asked->started_at_ms);
+        }
+        if (node_.state() != target_state::none) {
+            stored_ = record_of(node_);
+        }
+    }
+
+    /** Requests name the id of their target only. */
+    bool may_send_requests() const {
+        return node_.is_accepting_work() && node_.current()->id == running_.id;
+    }
+    bool has_acknowledged_leave() const { return has_acknowledgement_; }
+    bool is_leaving() const { return is_leaving_; }
+    int steady_steps() const { return steady_steps_; }
+
+private:
+    target_lifecycle node_;
+    host_record stored_;
+    target_start running_{"a", 0};
+    std::uint64_t sequence_{0};
+    bool is_leaving_{false};
+    bool has_acknowledgement_{false};
+    std::int64_t time_ms_{1'000'000};
+    int steps_{0};
+    int steady_steps_{0}; ///< Since a process was started.
+    std::multimap<int, announcement> delayed_;
+};
+
+// Whatever the clock, the order of heartbeats and the node's restarts: an acknowledged leave binds,
+// and a target that goes on announcing itself is in use.
+TEST(target_lifecycle, an_acknowledged_leave_binds_whatever_the_clock_says) {
+    const bool holds = rc::check([] {
+        const paused_clock clock;
+        constexpr int max_delay_steps = 4;
+        constexpr int max_steps_until_use = 24;
+        jumping_host host;
+        host.restart_target(0);
+        const auto steps = *rc::gen::inRange(1, 120);
+        for (int i = 0; i < steps; ++i) {
+            switch (*rc::gen::inRange(0, 24)) {
+            case 0:
+                host.restart_target(*rc::gen::inRange(-6'000, 6'000));
+                break;
+            case 1:
+                host.leave();
+                break;
+            case 2:
+                host.restart_node();
+                break;
+            default:
+                break;
+            }
+            host.advance(*rc::gen::arbitrary<bool>(), *rc::gen::inRange(0, max_delay_steps));
+            if (host.has_acknowledged_leave()) {
+                RC_ASSERT_FALSE(host.may_send_requests());
+            }
+            if (!host.is_leaving() && host.steady_steps() > max_steps_until_use) {
+                RC_ASSERT(host.may_send_requests());
+            }
+        }
+    });
+    EXPECT_TRUE(holds);
+}
+
 // Announcements of two targets in any order and restarts of the node at any time: no start that has
 // left gets work. A restarted node restores what it last published; like the node, the test
 // publishes no record before a target is known.
--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -106,5 +106,45 @@
         wait_until([&] { return executions_in_a_second(deployment, restarted, restarted) > 0; }));
 }
 
+/** Sends heartbeats until one is acknowledged. \returns whether one was within five seconds. */
+bool wait_for_acknowledgement(world& deployment, const host& which) {
+    return wait_until(
+        [&] { return deployment.await([&] { return which.target->send_heartbeat(); }) == 200; });
+}
+
+// review/4: a target whose clock had jumped started with an earlier start time; its leave was
+// acknowledged and ignored.
+TEST(platform_departure, a_leave_of_a_start_with_an_earlier_start_time_is_not_ignored) {
+    world deployment;
+    deployment.add_host("back");
+    deployment.add_host("back");
+    deployment.publish({{"/back/", "back"}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    auto& leaving = deployment.at(0);
+    deployment.run_on_stub_thread([&] {
+        leaving.target->restart("target-1", -std::chrono::seconds(60));
+        leaving.target->leave();
+    });
+    EXPECT_TRUE(wait_for_acknowledgement(deployment, leaving));
+    EXPECT_EQ(executions_in_a_second(deployment, deployment.at(1), leaving), 0);
+    EXPECT_EQ(executions_in_a_second(deployment, leaving, leaving), 0);
+}
+
+// The same for a target that signs off without announcing its departure.
+TEST(platform_departure, a_sign_off_of_a_start_with_an_earlier_start_time_is_not_ignored) {
+    world deployment;
+    deployment.add_host("back");
+    deployment.add_host("back");
+    deployment.publish({{"/back/", "back"}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    auto& leaving = deployment.at(0);
+    deployment.run_on_stub_thread(
+        [&] { leaving.target->restart("target-1", -std::chrono::seconds(60)); });
+    EXPECT_TRUE(wait_until(
+        [&] { return deployment.await([&] { return leaving.target->sign_off(); }) == 200; }));
+    EXPECT_EQ(executions_in_a_second(deployment, deployment.at(1), leaving), 0);
+    EXPECT_EQ(executions_in_a_second(deployment, leaving, leaving), 0);
+}
+
 } // namespace
 } // namespace lavenderhoist::platform_test
