--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -9,14 +9,15 @@
 
 namespace lavenderhoist::platform_test {
 
-// A faulty target answers every request with an endless body: the node must bound what it buffers.
-TEST(platform_endless_answer, neither_memory_nor_other_requests_suffer) {
+namespace {
+
+// A faulty target answers every request without end: the node must bound what it buffers.
+void expect_bounded_memory(proxy_mode mode) {
     world deployment;
     deployment.add_host("front");
     deployment.publish({{"/front/", "front", false}});
     ASSERT_TRUE(deployment.wait_until_ready());
-    deployment.run_on_stub_thread(
-        [&] { deployment.at(0).to_target->set_mode(proxy_mode::endless); });
+    deployment.run_on_stub_thread([&] { deployment.at(0).to_target->set_mode(mode); });
     constexpr int requests = 10;
     std::vector<std::thread> callers;
     for (int i = 0; i < requests; ++i) {
@@ -53,4 +54,14 @@
     EXPECT_LT(max_memory_mb, node_memory_limit_mb);
 }
 
+TEST(platform_endless_answer, neither_memory_nor_other_requests_suffer) {
+    expect_bounded_memory(proxy_mode::endless);
+}
+
+TEST(platform_endless_answer, neither_memory_nor_other_requests_suffer_from_an_endless_head) {
+    expect_bounded_memory(proxy_mode::endless_head);
+}
+
+} // namespace
+
 } // namespace lavenderhoist::platform_test
--- a/tests/platform/fault_proxy.cpp
+++ b/tests/platform/fault_proxy.cpp
@@ -109,13 +109,22 @@
 }
 
 asio::awaitable<void> fault_proxy::send_endless_answer(pair_ptr connection) {
-    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
-    const std::string body(buffer_bytes, 'x');
+    const auto mode = mode_;
+    const std::string head(mode == proxy_mode::endless ? "HTTP/1.1 200 OK\r\n\r\n"
+                                                       : "HTTP/1.1 200 OK\r\n");
+    const std::string field = "x-field: some value\r\n";
+    std::string piece(buffer_bytes, 'x');
+    if (mode == proxy_mode::endless_head) {
+        piece.clear();
+        while (piece.size() < buffer_bytes) {
+            piece += field;
+        }
+    }
     boost::system::error_code failed;
     co_await asio::async_write(connection->client, asio::buffer(head),
                                asio::redirect_error(asio::use_awaitable, failed));
-    while (!failed && mode_ == proxy_mode::endless) {
-        co_await asio::async_write(connection->client, asio::buffer(body),
+    while (!failed && mode_ == mode) {
+        co_await asio::async_write(connection->client, asio::buffer(piece),
                                    asio::redirect_error(asio::use_awaitable, failed));
     }
 }
@@ -137,7 +146,8 @@
         if (is_dropped) {
             continue;
         }
-        if (mode_ == proxy_mode::endless && !towards_server) {
+        const bool is_endless = mode_ == proxy_mode::endless || mode_ == proxy_mode::endless_head;
+        if (is_endless && !towards_server) {
             co_await send_endless_answer(connection);
             break;
         }
--- a/tests/platform/fault_proxy.hpp
+++ b/tests/platform/fault_proxy.hpp
@@ -20,6 +20,7 @@
     drop_requests, ///< Bytes from the server pass, bytes to the server are dropped.
     silent,        ///< No bytes pass; new connections are accepted.
     endless,       ///< An answer of the server is replaced by a head and an endless body.
+    endless_head,  ///< An answer of the server is replaced by a head without end.
 };
 
 /** \brief Forwards TCP connections to a server on loopback and injects faults. Single-threaded: all
