Requests that come late in the grace time are answered before its end

Cause: the deadline that goes with a request knew nothing of the end of the process. Ruled out: requests of callers after 2.8 s, which are refused as not run (a_stopping_node_ends_in_time_under_steady_load).

Change: what arrives after SIGTERM is given no more time than until 0.3 s before the exit, so that the target stops there and its own answer is passed on. Refusing calls instead would fail requests that mostly end in time.

--- a/libs/agent/src/sidecar.cpp
+++ b/libs/agent/src/sidecar.cpp
@@ -30,6 +30,9 @@
 /** Part of the grace period kept for the exit of the process. */
 constexpr duration exit_reserve = std::chrono::milliseconds(400);
 
+/** Part of the time before the exit in which answers at the end of their time are passed on. */
+constexpr duration answer_reserve = std::chrono::milliseconds(300);
+
 /** Between two checks for remaining requests; also the timeout of a check. */
 constexpr duration shutdown_poll_interval = std::chrono::milliseconds(50);
 
@@ -150,7 +153,7 @@
     const auto deadline = started_at + settings.grace_period - exit_reserve;
     log_line(severity::info, "stopping", {{"grace_ms", settings.grace_period.count()}});
     control.begin_shutdown();
-    data.begin_shutdown();
+    data.begin_shutdown(deadline - answer_reserve);
     co_await net::sleep_until(context.get_executor(),
                               std::min(started_at + readiness_notice_delay, deadline));
     data.refuse_new_requests();
--- a/libs/relay/include/lavenderhoist/relay/data_worker.hpp
+++ b/libs/relay/include/lavenderhoist/relay/data_worker.hpp
@@ -84,8 +84,9 @@
     void set_versions(std::function<std::string()> versions);
 
     /** \brief Starts an orderly shutdown: callers' connections close after the next answer, and
-     * other nodes are made to open no more streams (GOAWAY). */
-    void begin_shutdown();
+     * other nodes are made to open no more streams (GOAWAY). Requests that arrive from now on are
+     * given no more time than `answers_until`, so that their targets answer before the end. */
+    void begin_shutdown(time_point answers_until);
 
     /** \brief Refuses further requests from callers and further streams from other nodes. */
     void refuse_new_requests();
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -59,7 +59,10 @@
     void on_caller_disconnected(const std::shared_ptr<net::http_session>& session);
 
     /** \brief From now on connections close after each answer. */
-    void begin_shutdown() noexcept { stopping_ = true; }
+    void begin_shutdown(time_point answers_until) noexcept {
+        stopping_ = true;
+        answers_until_ = answers_until;
+    }
 
     /** \brief From now on callers are refused; nested calls are still served. */
     void refuse_callers() noexcept { refusing_ = true; }
@@ -153,6 +156,7 @@
     logging::line_budget success_lines_;
     outcome_log outcomes_;
     bool stopping_{false};
+    time_point answers_until_{time_point::max()}; ///< Bound on deadlines, during a shutdown.
     bool refusing_{false};
 };
 
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -68,6 +68,9 @@
     /** \brief Refuses further requests as not run; those queued and running continue. */
     void refuse_new_requests() noexcept { refusing_ = true; }
 
+    /** \brief Further requests are given no more time than this. */
+    void set_answers_until(time_point latest) noexcept { answers_until_ = latest; }
+
     /** \brief Queues or sends a request. `done` is called once, maybe at once, unless cancelled. */
     ticket submit(relay_request request, done_handler done);
 
@@ -174,6 +177,7 @@
     std::optional<net::deadline_queue::handle> rate_timer_;
     std::uint64_t logged_sent_requests_{0};
     bool refusing_{false};
+    time_point answers_until_{time_point::max()};
     admission::priority logged_level_{admission::open_level};
     counters totals_;
 };
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -331,9 +331,10 @@
     });
 }
 
-void data_worker::begin_shutdown() {
-    asio::post(implementation_->context, [this] {
-        implementation_->request_entry.begin_shutdown();
+void data_worker::begin_shutdown(time_point answers_until) {
+    asio::post(implementation_->context, [this, answers_until] {
+        implementation_->request_entry.begin_shutdown(answers_until);
+        implementation_->local_target.set_answers_until(answers_until);
         implementation_->streams->drain();
     });
 }
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -186,7 +186,8 @@
     auto& request = made->request;
     request.id = id;
     const auto left = parse_ms(net::find_header(message.fields, names_.time_left_ms));
-    request.deadline = now + std::min<duration>(route->timeout, left.value_or(route->timeout));
+    request.deadline = std::min(
+        now + std::min<duration>(route->timeout, left.value_or(route->timeout)), answers_until_);
     request.objective = std::min(route->objective, route->timeout);
     request.service = choose_service(*route);
     request.caller = settings_.service;
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -130,6 +130,7 @@
 target_port::ticket target_port::submit(relay_request request, done_handler done) {
     const auto now = runtime_clock::now();
     const auto id = ++last_ticket_;
+    request.deadline = std::min(request.deadline, answers_until_);
     errc cause = errc::ok;
     if (!target_ || target_->service != request.service) {
         cause = errc::no_target;
--- a/tests/platform/control_test.cpp
+++ b/tests/platform/control_test.cpp
@@ -334,6 +334,46 @@
     EXPECT_EQ(callers.executed_without_answer(), 0);
 }
 
+void slow_down(world& deployment, const host& which, duration slowdown) {
+    deployment.run_on_stub_thread([&] { which.target->injected_faults().slowdown = slowdown; });
+}
+
+/** What the caller of a request gets that is sent late in the grace time of its node. */
+net::exchange_result send_to_stopping_node(world& deployment) {
+    deployment.at(0).node->send(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(2'500));
+    return deployment.send_request(deployment.at(0), "POST", "/front/x", deployment.make_id(),
+                                   5'000);
+}
+
+// A request that came late in the grace time was cut at its end, without an answer.
+TEST(platform_control, a_request_late_in_the_grace_time_ends_with_an_answer) {
+    world deployment;
+    deployment.add_host("front");
+    deployment.publish({{"/front/", "front", false, 5'000}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    slow_down(deployment, deployment.at(0), std::chrono::seconds(4));
+    const auto result = send_to_stopping_node(deployment);
+    EXPECT_FALSE(result.code) << result.code.message();
+    EXPECT_EQ(result.answer.status, 504);
+    EXPECT_EQ(deployment.at(0).node->wait(std::chrono::seconds(6)), 0);
+}
+
+// The same for a call that a request makes late in the grace time.
+TEST(platform_control, a_call_late_in_the_grace_time_ends_with_an_answer) {
+    world deployment;
+    deployment.add_host("front", "a", {{"/front/x", world::host_name, "/back/x"}});
+    deployment.add_host("back");
+    deployment.publish({{"/front/", "front", false, 5'000}, {"/back/", "back", true, 4'000}});
+    ASSERT_TRUE(deployment.wait_until_ready());
+    slow_down(deployment, deployment.at(0), std::chrono::seconds(1));
+    slow_down(deployment, deployment.at(1), milliseconds(2'500));
+    const auto result = send_to_stopping_node(deployment);
+    EXPECT_FALSE(result.code) << result.code.message();
+    EXPECT_EQ(result.answer.status, 500);
+    EXPECT_EQ(deployment.at(0).node->wait(std::chrono::seconds(6)), 0);
+}
+
 TEST(platform_control, signals_to_read_settings_again_end_nothing) {
     world deployment;
     deployment.add_host("back", "a", {}, milliseconds(300));
