lh-soak: targets leave and start again while other faults happen

A leave is acknowledged with the store silent for its node, the node killed, an earlier heartbeat arrives late, the target serves on for three seconds and starts again, under its id or another one, with a clock that has jumped by up to five seconds. No target may execute a request later than 2 s after its acknowledged leave.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -51,6 +51,10 @@
             next = runtime_clock::now() + milliseconds(draw(max_pause_between_faults_ms));
         }
         lift_due(runtime_clock::now());
+        if (auto* const victim = to_kill_.exchange(nullptr)) {
+            record_fault("kill after a leave", victim);
+            victim->node->kill();
+        }
         restart_ended();
         harness::pause_for(step);
     }
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -2,6 +2,7 @@
 
 #include "world.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -22,6 +23,9 @@
     /** \brief Injects faults for a while, then lifts all of them. */
     void run(duration length);
 
+    /** \brief Has run() kill a node at its next step. Safe to call from any thread. */
+    void kill_soon(platform_test::host& victim) { to_kill_ = &victim; }
+
     /** \brief Nodes that exited in a way that no injected signal explains. */
     const std::vector<std::string>& unexplained_ends() const noexcept { return unexplained_; }
 
@@ -64,6 +68,7 @@
     std::vector<rate_period> rate_periods_;
     std::vector<std::string> unexplained_;
     std::vector<std::string> history_;
+    std::atomic<platform_test::host*> to_kill_{nullptr};
     std::set<const platform_test::host*> terminated_; ///< Received SIGTERM and must exit with 0.
     std::set<const platform_test::host*> paused_;     ///< Received SIGSTOP and no SIGCONT yet.
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -3,6 +3,7 @@
 
 #include "callers.hpp"
 #include "changes.hpp"
+#include "departures.hpp"
 #include "faults.hpp"
 
 #include "lavenderhoist/cli/options.hpp"
@@ -43,13 +44,17 @@
     soak::callers callers(world, caller_count, seed);
     soak::fault_plan faults(world, seed);
     soak::configuration_changes changes(world, routes(), seed);
+    soak::target_departures departures(world, faults, seed);
     faults.run(length);
     changes.stop();
+    departures.stop();
     const bool has_recovered = world.wait_until_ready(recovery_timeout);
     const auto outdated = has_recovered ? changes.find_outdated() : std::vector<std::string>();
     callers.stop();
     auto violations = callers.find_violations();
     const auto excess = faults.find_excess();
+    const auto late = departures.find_late_executions();
+    violations.insert(violations.end(), late.begin(), late.end());
     violations.insert(violations.end(), excess.begin(), excess.end());
     violations.insert(violations.end(), outdated.begin(), outdated.end());
     violations.insert(violations.end(), faults.unexplained_ends().begin(),
@@ -59,7 +64,8 @@
     }
     std::cout << "seed " << seed << ": " << callers.served() << " of " << callers.sent()
               << " served, " << faults.history().size() << " faults, " << changes.published()
-              << " configurations, " << violations.size() << " violations\n";
+              << " configurations, " << departures.acknowledged() << " leaves, "
+              << violations.size() << " violations\n";
     for (const auto& each : violations) {
         std::cout << "  " << each << '\n';
     }
