A long pipeline on one connection does not overflow the stack

Cause: parse() and answer() called each other once for each request that was answered at once.

Change: parse() loops; an answer within a handler returns to that loop.

Evidence: http_session.answers_a_long_pipeline_with_a_bounded_stack ends the test program on the code before and passes with 10,000 requests; the other six tests of the session pass.

--- a/libs/net/include/lavenderhoist/net/http_session.hpp
+++ b/libs/net/include/lavenderhoist/net/http_session.hpp
@@ -67,6 +67,7 @@
     void on_bytes(std::string_view bytes) override;
     void on_end(std::error_code failed) override;
     void parse();
+    bool parse_next();
     void finish_request();
     void reject(int status, std::string_view reason);
     std::shared_ptr<http_session> self();
@@ -80,6 +81,7 @@
     bool is_request_pending_{false};
     bool is_keep_alive_{true}; ///< The last request allows further ones on the connection.
     bool closing_{false};
+    bool is_parsing_{false};
 };
 
 } // namespace lavenderhoist::net
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -72,9 +72,18 @@
 }
 
 void http_session::parse() {
-    if (buffer_.empty()) {
-        return;
+    if (is_parsing_) {
+        return; // a request was answered within its handler: the loop below goes on
+    }
+    const auto keep_alive = self();
+    is_parsing_ = true;
+    while (!buffer_.empty() && !is_request_pending_ && !closing_ && is_open() && parse_next()) {
     }
+    is_parsing_ = false;
+}
+
+/** Takes what the buffer holds of one request. \returns true if that was all of it. */
+bool http_session::parse_next() {
     if (!reading_) {
         reading_ = std::make_unique<reading>();
         reading_->parser.eager(true);
@@ -87,19 +96,19 @@
     buffer_.erase(0, internal::feed(parser, buffer_, failed));
     if (failed) {
         reject(status_of(failed), failed.message());
-        return;
+        return false;
     }
     if (parser.is_header_done() && !internal::has_known_framing(parser.get())) {
         reject(status_bad_request, "transfer coding is not supported");
-        return;
+        return false;
     }
     if (parser.is_done()) {
         finish_request();
-        return;
+        return true;
     }
     if (buffer_.size() > internal::max_unparsed_bytes) {
         reject(status_bad_request, "chunk head or trailer is too long");
-        return;
+        return false;
     }
     const bool expects_continue = parser.is_header_done() && !reading_->has_sent_continue &&
                                   parser.get()[http::field::expect] == "100-continue";
@@ -107,6 +116,7 @@
         reading_->has_sent_continue = true;
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    return false;
 }
 
 void http_session::finish_request() {
--- a/libs/net/test/http_session_test.cpp
+++ b/libs/net/test/http_session_test.cpp
@@ -20,7 +20,9 @@
         handlers->on_request = [this](const std::shared_ptr<http_session>& session,
                                       request message) {
             requests_.push_back(std::move(message));
-            session->answer({200, {}, "served"}, true);
+            if (!is_holding_) {
+                session->answer({200, {}, "served"}, true);
+            }
         };
         handlers->on_gone = [](const std::shared_ptr<http_session>&) {};
         handlers->on_rejected = [this](int status, std::string_view) { rejected_ = status; };
@@ -38,6 +40,14 @@
         test::write_in_pieces(context_, peer_, bytes, piece);
     }
 
+    /** Leaves the next request without an answer, until release(). */
+    void hold() { is_holding_ = true; }
+
+    void release() {
+        is_holding_ = false;
+        session_->answer({200, {}, "served"}, true);
+    }
+
     std::string received() { return test::read_available(context_, peer_); }
     http_session& session() { return *session_; }
     const std::vector<request>& requests() const { return requests_; }
@@ -52,6 +62,7 @@
     std::shared_ptr<http_session> session_;
     std::vector<request> requests_;
     int rejected_{0};
+    bool is_holding_{false};
 };
 
 std::string chunked(std::string_view text, std::size_t piece) {
@@ -139,6 +150,21 @@
         ambiguous{"chunk_without_end", "Transfer-Encoding: chunked\r\n", "1\r\nab\r\n0\r\n\r\n"}),
     [](const auto& tested) { return tested.param.name; });
 
+// Each request of a pipeline that was answered at once took two frames of the stack until all were.
+TEST(http_session, answers_a_long_pipeline_with_a_bounded_stack) {
+    constexpr std::size_t count = 10'000;
+    std::string bytes;
+    for (std::size_t i = 0; i < count; ++i) {
+        bytes += "GET / HTTP/1.1\r\n\r\n";
+    }
+    served_connection connection;
+    connection.hold();
+    connection.send(bytes);
+    ASSERT_EQ(connection.requests().size(), 1);
+    connection.release();
+    EXPECT_EQ(connection.requests().size(), count);
+}
+
 TEST(http_session, rejects_what_is_too_large_with_its_status) {
     served_connection many_fields;
     many_fields.send("GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(4'000, 'x') +
