A stopping node whose data thread does not answer is not idle

A node that is told to stop asks its data thread for 50 ms what is left.

Change: no answer means busy, until the grace time ends; a late answer is no longer read while it may be written. The line "stopped" says whether the thread answered.

Evidence: is_idle.a_thread_that_does_not_answer_is_not_idle; tests of stopping nodes pass (5).

--- /dev/null
+++ b/libs/agent/include/lavenderhoist/agent/internal/is_idle.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lavenderhoist/relay/data_worker.hpp"
+
+#include <optional>
+
+namespace lavenderhoist::agent::internal {
+
+/** \brief True if nothing is at work. \param status of the data thread; nothing if it has not
+ * answered, since a thread that is busy may have requests at work. */
+inline bool is_idle(const std::optional<relay::data_status>& status) noexcept {
+    return status && status->requests + status->at_target == 0;
+}
+
+} // namespace lavenderhoist::agent::internal
--- a/libs/agent/src/sidecar.cpp
+++ b/libs/agent/src/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderhoist/agent/control_worker.hpp"
 #include "lavenderhoist/agent/internal/endpoint_of.hpp"
+#include "lavenderhoist/agent/internal/is_idle.hpp"
 #include "lavenderhoist/config/issue.hpp"
 #include "lavenderhoist/logging/log.hpp"
 #include "lavenderhoist/net/sleep.hpp"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -76,7 +78,8 @@
     asio::awaitable<void> watch_settings();
     asio::awaitable<void> shut_down();
     asio::awaitable<void> wait_until_idle(time_point deadline);
-    asio::awaitable<relay::data_status> data_status();
+    /** \returns nothing if the data thread does not answer in time. */
+    asio::awaitable<std::optional<relay::data_status>> data_status();
 
     agent_settings settings;
     std::string settings_path;
@@ -127,7 +130,7 @@
     }
 }
 
-asio::awaitable<relay::data_status> sidecar::implementation::data_status() {
+asio::awaitable<std::optional<relay::data_status>> sidecar::implementation::data_status() {
     const auto done = std::make_shared<net::signal>(context.get_executor());
     const auto result = std::make_shared<relay::data_status>();
     data.inspect([this, done, result](const relay::data_status& status,
@@ -135,7 +138,9 @@
         *result = status;
         asio::post(context, [done] { done->set(); });
     });
-    co_await done->wait(runtime_clock::now() + shutdown_poll_interval);
+    if (!co_await done->wait(runtime_clock::now() + shutdown_poll_interval)) {
+        co_return std::nullopt;
+    }
     co_return *result;
 }
 
@@ -143,8 +148,7 @@
     bool is_busy = true;
     while (is_busy && runtime_clock::now() < deadline) {
         co_await net::sleep_for(context.get_executor(), shutdown_poll_interval);
-        const auto status = co_await data_status();
-        is_busy = status.requests + status.at_target > 0;
+        is_busy = !internal::is_idle(co_await data_status());
     }
 }
 
@@ -163,8 +167,11 @@
     data.close_listeners();
     co_await wait_until_idle(deadline);
     const auto status = co_await data_status();
+    const auto left = status.value_or(relay::data_status{});
     log_line(severity::info, "stopped",
-             {{"requests_left", status.requests}, {"at_target", status.at_target}});
+             {{"data_thread_answered", status.has_value()},
+              {"requests_left", left.requests},
+              {"at_target", left.at_target}});
     context.stop();
 }
 
--- /dev/null
+++ b/libs/agent/test/is_idle_test.cpp
@@ -0,0 +1,17 @@
+#include "lavenderhoist/agent/internal/is_idle.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lavenderhoist::agent::internal {
+namespace {
+
+// A stopping node whose data thread did not answer in time ended as if nothing were at work.
+TEST(is_idle, a_thread_that_does_not_answer_is_not_idle) {
+    EXPECT_FALSE(is_idle(std::nullopt));
+    EXPECT_TRUE(is_idle(relay::data_status{}));
+    EXPECT_FALSE(is_idle(relay::data_status{1, 0, 0}));
+    EXPECT_FALSE(is_idle(relay::data_status{0, 1, 0}));
+}
+
+} // namespace
+} // namespace lavenderhoist::agent::internal
