--- a/libs/quota/test/quota_replay_test.cpp
+++ b/libs/quota/test/quota_replay_test.cpp
@@ -38,6 +38,22 @@
     duration hot_until{std::chrono::seconds(23)};
     duration length{std::chrono::seconds(30)};
     bool has_reports{true};
+
+    /** A time in which the organisation sends so many times what it would send otherwise. */
+    struct leap {
+        duration from;
+        duration until;
+        double factor;
+    };
+    std::vector<leap> leaps{}; ///< Besides the hot time; those that overlap multiply.
+
+    double factor_at(duration at) const {
+        double factor = at >= hot_from && at < hot_until ? hot_factor : 1;
+        for (const auto& each : leaps) {
+            factor *= at >= each.from && at < each.until ? each.factor : 1;
+        }
+        return factor;
+    }
 };
 
 struct outcome {
@@ -92,8 +108,7 @@
     for (int i = 0; i < steps; ++i) {
         const auto at = i * step;
         const auto now = time_point(std::chrono::seconds(1'000)) + at;
-        const bool is_hot = at >= given.hot_from && at < given.hot_until;
-        const auto rate = given.usual_rate * (is_hot ? given.hot_factor : 1);
+        const auto rate = given.usual_rate * given.factor_at(at);
         const auto arrivals = std::poisson_distribution<int>(
             rate * std::chrono::duration<double>(step).count())(random);
         int admitted = 0;
@@ -137,6 +152,28 @@
     EXPECT_GE(admitted, 0.85 * allowed);
 }
 
+// The organisation rises three times, the second time while its first rise lasts: at its peak it
+// sends 26 times its usual. Nodes then admitted 1% more than the rule allows in five seconds.
+TEST(quota_replay, rises_on_top_of_each_other_stay_within_the_quota) {
+    load given{{1'165, 1'165}, 4, 16, 728};
+    given.hot_factor = 1;
+    given.leaps = {{std::chrono::seconds(1), std::chrono::seconds(9), 3.3},
+                   {std::chrono::seconds(8), milliseconds(13'800), 6.1},
+                   {std::chrono::seconds(9), std::chrono::seconds(17), 4.3}};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        EXPECT_LE(play(given, seed).busiest_window(), limit_of(given.quota));
+    }
+}
+
+// From its usual demand, with its whole burst left, to many times the quota.
+TEST(quota_replay, a_sudden_rise_to_forty_times_the_usual_stays_within_the_quota) {
+    load given{{1'165, 1'165}, 4, 16, 728};
+    given.hot_factor = 40;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        EXPECT_LE(play(given, seed).busiest_window(), limit_of(given.quota));
+    }
+}
+
 TEST(quota_replay, within_its_quota_an_organisation_is_refused_nothing) {
     load given{{160, 80}, 4, 17, 100};
     given.hot_factor = 1;
