Quotas hold through sudden rises of demand

Cause: until the next word each node admitted four equal parts of what was left of a quota, so all nodes together four times that; and a burst spent more than 5 s ago counted as unused, so a steadily hot organisation used it in each window and left no room for the error of the next rise. Change: a node admits its part of what is left, equal or by what it has admitted lately, with a margin of at most three requests; the bucket looks back 20 s.

--- a/libs/quota/include/lavenderhoist/quota/quota_gate.hpp
+++ b/libs/quota/include/lavenderhoist/quota/quota_gate.hpp
@@ -18,9 +18,9 @@
  * together, and counts them.
  *
  * What may be admitted of an organisation's requests is found from the counts of all nodes
- * (usage_board). Until the next word of that, the node admits its own part of what is left, twice
- * over since organisations don't use all nodes alike; so a sudden rise of demand at all nodes goes
- * little beyond the quota.
+ * (usage_board). Until the next word of that, the node admits its own part of what is left: an
+ * equal one, or the share of the quota that it has admitted lately if that is more. So a sudden
+ * rise of demand at all nodes, to any multiple, goes little beyond the quota.
  *
  * A pure state machine.
  */
--- a/libs/quota/include/lavenderhoist/quota/usage_window.hpp
+++ b/libs/quota/include/lavenderhoist/quota/usage_window.hpp
@@ -15,13 +15,17 @@
 public:
     static constexpr duration length = std::chrono::seconds(5);
 
+    /** What is kept. Longer than `length`: a burst that is taken for unused once in `length` would
+     * be admitted again in each, and leave no room for a sudden rise of demand. */
+    static constexpr duration memory = std::chrono::seconds(20);
+
     void add(const usage& more, time_point now) noexcept;
 
-    /** \brief Usage in the last `length`, or in the last `within` of it. */
+    /** \brief Usage in the last `length`, or in the last `within`, at most `memory`. */
     usage sum(time_point now, duration within = length) const noexcept;
 
     /**
-     * \brief Requests that the bucket of a quota holds, if it was full `length` ago; negative if
+     * \brief Requests that the bucket of a quota holds, if it was full `memory` ago; negative if
      * more were admitted than the quota allows.
      */
     double tokens(const rate_quota& quota, time_point now) const noexcept;
@@ -33,8 +37,8 @@
     double admission_share(const rate_quota& quota, time_point now) const noexcept;
 
 private:
-    static constexpr std::size_t slot_count = 20;
-    static constexpr duration slot_length = length / static_cast<int>(slot_count);
+    static constexpr std::size_t slot_count = 80;
+    static constexpr duration slot_length = memory / static_cast<int>(slot_count);
 
     /** What the bucket holds is spent, and what it lacks saved, within this time. */
     static constexpr std::chrono::duration<double> balance_time{0.5};
--- a/libs/quota/src/quota_gate.cpp
+++ b/libs/quota/src/quota_gate.cpp
@@ -3,6 +3,7 @@
 #include "lavenderhoist/core/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -10,16 +11,19 @@
 
 namespace {
 
-/** Until the next word, a node admits this many times its part of what is left: organisations don't
- * use all nodes alike, and single arrivals vary. */
-constexpr double parts_of_left = 4;
+/** Until the next word, a node admits its part of what is left and so many standard deviations of
+ * a number of requests with that mean, since single arrivals vary; at most so many requests and
+ * parts. A part of many requests has room for the variation of a usual demand. */
+constexpr double variations = 2;
+constexpr double max_variation = 3;
+constexpr double max_parts_of_left = 4;
 
 /** Without recent word, a node admits this many times its part of the quota. */
 constexpr double parts_of_quota = 2;
 
 /** A node that has admitted more than its part goes on at up to `max_growth` times its rate in
  * `usual_time`. */
-constexpr double max_growth = 2;
+constexpr double max_growth = 1.5;
 constexpr duration usual_time = std::chrono::seconds(1);
 
 double in_seconds(duration length) noexcept {
@@ -83,8 +87,17 @@
                       quota.per_second * since_word;
     const auto usual_rate =
         static_cast<double>(known.recent.sum(now, usual_time).admitted) / in_seconds(usual_time);
-    const auto allowed =
-        std::max(part_of(parts_of_left) * left, max_growth * usual_rate * since_word);
+    // Organisations don't use all nodes alike: the share of the quota that went through this node
+    // is its part. These shares add up to about one, and so do the equal ones: all nodes together
+    // admit what is left at most twice, whatever the demand rises to.
+    const auto window_quota = quota.per_second * in_seconds(usage_window::length);
+    const auto own_part =
+        window_quota > 0 ? static_cast<double>(known.recent.sum(now).admitted) / window_quota : 0;
+    const auto expected = std::max(part_of(1), own_part) * left;
+    const auto varying =
+        std::min(expected + std::min(max_variation, variations * std::sqrt(expected)),
+                 max_parts_of_left * expected);
+    const auto allowed = std::max(varying, max_growth * usual_rate * since_word);
     return static_cast<double>(known.admitted_since_word) < 1 + allowed;
 }
 
