A status outside of 100 to 599 is a broken answer

Cause: Beast takes any three digits. 000 to 099 were taken for interim answers, so the request waited until its deadline; 600 to 999 were passed on. Now such an answer fails at once as one that can't be read (it may have run) and its connection is closed, as soon as its head is there; the same for answers that other nodes pass on.

--- a/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
+++ b/libs/net/include/lavenderhoist/net/internal/http_feed.hpp
@@ -21,6 +21,12 @@
 /** Interim answers (RFC 9110 section 15.2) before the final one; servers send one or two. */
 inline constexpr int max_interim_answers = 16;
 
+/** \brief True if the code is one of HTTP (RFC 9110 section 15). The parser of Beast 1.81 takes any
+ * three digits. */
+constexpr bool is_valid_status(unsigned code) noexcept {
+    return code >= 100 && code <= 599;
+}
+
 /**
  * \brief Feeds bytes to the parser of one message until it needs more than there are.
  *
@@ -105,6 +111,9 @@
         parser.emplace();
         parser->body_limit(max_body_bytes);
         const auto failed = co_await read_message(socket, buffer, *parser);
+        if (!failed && !is_valid_status(parser->get().result_int())) {
+            break;
+        }
         if (failed || parser->get().result_int() >= first_final_status) {
             co_return failed;
         }
--- a/libs/net/src/http_link.cpp
+++ b/libs/net/src/http_link.cpp
@@ -107,7 +107,8 @@
         auto& parser = reading_->parser;
         boost::system::error_code failed;
         buffer_.erase(0, internal::feed(parser, buffer_, failed));
-        if (failed) {
+        const bool has_status = parser.is_header_done();
+        if (failed || (has_status && !internal::is_valid_status(parser.get().result_int()))) {
             fail(errc::bad_answer);
             return;
         }
--- a/libs/net/test/status_line_test.cpp
+++ b/libs/net/test/status_line_test.cpp
@@ -19,7 +19,8 @@
 
 class status_line : public testing::TestWithParam<std::string> {};
 
-std::optional<exchange_result> result_for(const std::string& first_line) {
+std::optional<exchange_result> result_for(const std::string& first_line,
+                                          const std::string& framing = "Content-Length: 2\r\n") {
     boost::asio::io_context context(1);
     auto [local, peer] = test::make_pair(context);
     const auto link = std::make_shared<http_link>(std::move(local), max_body_bytes);
@@ -28,8 +29,7 @@
     link->exchange({"GET", "/", {}, "", "host"}, {"x-id", "own"},
                    [&](exchange_result ended) { result = std::move(ended); });
     test::read_available(context, peer);
-    test::write_in_pieces(context, peer,
-                          first_line + "\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok", 64);
+    test::write_in_pieces(context, peer, first_line + "\r\nX-Id: own\r\n" + framing + "\r\nok", 64);
     return result; // the connection is still open
 }
 
@@ -49,6 +49,13 @@
                                          "HTTP/2.0 200 OK", "HTTP/1.x 200 OK", "HTTP 200 OK",
                                          "200 OK"));
 
+// Its body may never come.
+TEST(status_line_codes, an_answer_without_a_valid_code_is_not_waited_for) {
+    const auto result = result_for("HTTP/1.1 000 x", "Content-Length: 4000\r\n");
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->code, make_error_code(errc::bad_answer));
+}
+
 TEST(status_line_codes, the_highest_code_of_the_protocol_is_an_answer) {
     const auto result = result_for("HTTP/1.1 599 x");
     ASSERT_TRUE(result);
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -11,6 +11,8 @@
 constexpr std::string_view internal_prefix = "lh-";
 constexpr std::string_view load_path = "/lh/load";
 constexpr int status_load = 200;
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 constexpr int status_failure = 503; // for streams without an answer of a target
 
 template <typename Number>
@@ -213,6 +215,9 @@
         answer.retry_after = std::chrono::microseconds(wait.value_or(0));
         return answer;
     }
+    if (result.answer.status < first_status || result.answer.status > last_status) {
+        return make_failure(execution::unknown, errc::bad_answer, step::stream, peer);
+    }
     net::remove_headers_with_prefix(fields, internal_prefix);
     answer.message = std::move(result.answer);
     return answer;
--- a/libs/relay/test/stream_codec_test.cpp
+++ b/libs/relay/test/stream_codec_test.cpp
@@ -69,6 +69,20 @@
     }
 }
 
+// A node of a version that takes any status may pass one on.
+TEST(stream_codec, an_answer_without_a_valid_status_is_a_broken_one) {
+    for (const int status : {0, 99, 600}) {
+        relay_answer sent;
+        sent.result = execution::answered;
+        sent.message.status = status;
+        net::exchange_result received;
+        received.answer = to_stream(sent);
+        const auto answer = from_stream(std::move(received), "peer");
+        EXPECT_EQ(answer.result, execution::unknown);
+        EXPECT_EQ(answer.failure.code, errc::bad_answer);
+    }
+}
+
 RC_GTEST_PROP(stream_codec, any_text_is_a_report_or_none, (const std::string& text)) {
     const auto report = report_from(text);
     RC_ASSERT((!report || !report->rate_limit || *report->rate_limit >= 0));
