Runs are limited to what retries complete while a called service sheds at any load

Cause: each call decided by itself. With every target of the deepest service shedding 55 in 100 calls, chains of four calls completed 4 times in 100; the retries that are allowed were spent on chains that failed at a later call. Change: the node whose target makes the calls finds how many runs the allowed retries complete and reports a level for it; retries go to runs above that level, first to those under way. Calls made by retries are marked and count against the budget.

--- a/libs/admission/include/lavenderhoist/admission.hpp
+++ b/libs/admission/include/lavenderhoist/admission.hpp
@@ -3,6 +3,7 @@
 /** \file \brief Umbrella header: admission control, that is which requests a target runs, queues or
  * refuses. */
 
+#include "lavenderhoist/admission/chain_capacity.hpp"
 #include "lavenderhoist/admission/controller.hpp"
 #include "lavenderhoist/admission/decision.hpp"
 #include "lavenderhoist/admission/guaranteed_share.hpp"
--- a/libs/relay/include/lavenderhoist/relay/attempt_plan.hpp
+++ b/libs/relay/include/lavenderhoist/relay/attempt_plan.hpp
@@ -12,6 +12,7 @@
     deliver, ///< Pass the target's answer to the caller.
     reroute, ///< Send to another target; the last one was not reached.
     retry,   ///< Send to another target, if the retry budget allows it.
+    resend,  ///< Send again to a target that has shed it, if the retry budget allows it.
     fail,    ///< Answer the caller with an error.
 };
 
@@ -27,6 +28,10 @@
     /** \brief Bound on attempts, including those that reach no target: each costs time. */
     static constexpr int max_placements = 4;
 
+    /** \brief Bound on attempts at targets that have shed the request before. A target that sheds
+     * half of its requests at random takes all but one in a hundred within this. */
+    static constexpr int max_resends = 6;
+
     /** No further attempt is made with less time than this left before the deadline. */
     static constexpr duration min_time_left = std::chrono::milliseconds(5);
 
@@ -40,6 +45,12 @@
         open_ = true;
     }
 
+    /** \brief The attempt that begins next goes to a target that has shed the request. */
+    void on_resend() noexcept {
+        is_resend_ = true;
+        ++resends_;
+    }
+
     next_step on_answer(const relay_answer& answer, duration time_left) noexcept;
 
     /**
@@ -54,12 +65,17 @@
 
     int placements() const noexcept { return placements_; }
 
+    /** \brief Attempts that have reached a target. */
+    int reached() const noexcept { return reached_; }
+
 private:
     int attempts_;
     bool idempotent_;
     bool open_{false}; ///< The last attempt has not ended.
     bool may_have_run_{false};
-    int reached_{0};
+    bool is_resend_{false}; ///< The attempt in flight.
+    int reached_{0};        ///< Targets, but for resends.
+    int resends_{0};
     int placements_{0};
 };
 
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -83,6 +83,13 @@
      * To be called often. */
     void refresh_levels();
 
+    /** \brief A run of the local target has completed after that many nested calls. */
+    void on_run_completed(const std::string& route, int calls);
+
+    /** \brief Evaluates which runs of the local target can be completed; to be called every
+     * admission::chain_capacity::window_length. */
+    void on_window();
+
     /** \brief Logs how many lines about single requests were suppressed since the last call. */
     void log_suppressed();
 
@@ -106,13 +113,15 @@
     bool try_refuse_over_quota(const pending_ptr& request);
     admission::priority service_level(const std::string& route, const std::string& service,
                                       time_point now) const;
-    void record_call(const std::string& parent_route, const pending& call);
+    void record_call(const pending& call);
     void request_levels(const std::string& route, known_service& service, time_point now);
     std::string_view parent_of(std::string_view id) const;
     const std::string& choose_service(const mesh::route& route);
     void place(const pending_ptr& request);
     bool try_raise_to_guaranteed(pending& request);
     known_target_ptr choose_target(const pending& request, bool& all_refuse);
+    known_target_ptr choose_shedding_target(const pending& request);
+    void resend(const pending_ptr& request, const relay_answer& refusal);
     std::vector<known_target_ptr> candidates_for(const pending& request, bool include_stopping,
                                                  time_point now);
     void start_attempt(const pending_ptr& request, const known_target_ptr& target);
@@ -123,8 +132,13 @@
     bool may_retry_failure(const pending& request, const known_target& target,
                            const relay_answer& answer, time_point now) const;
     bool try_take_retry(const std::string& service);
+    bool try_take_retry(const pending& request, const relay_answer& answer);
+    known_callee* find_callee(const pending& call);
+    void record_attempt(const pending& request, const relay_answer& answer);
+    void log_limited_runs(time_point now);
     bool try_take_failure_retry(const std::string& service);
     mesh::windowed_retry_budget::limits budget_limits() const;
+    mesh::windowed_retry_budget::limits chain_budget_limits() const;
     void on_deadline(const pending_ptr& request);
     void deliver(const pending_ptr& request, net::response message);
     void fail(const pending_ptr& request, const relay_answer& last);
@@ -155,6 +169,7 @@
     logging::line_budget failure_lines_;
     logging::line_budget success_lines_;
     outcome_log outcomes_;
+    time_point limited_runs_logged_at_{};
     bool stopping_{false};
     time_point answers_until_{time_point::max()}; ///< Bound on deadlines, during a shutdown.
     bool refusing_{false};
--- a/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderhoist/admission/chain_capacity.hpp"
 #include "lavenderhoist/relay/attempt_plan.hpp"
 #include "lavenderhoist/relay/entry.hpp"
 #include "lavenderhoist/relay/known_target.hpp"
@@ -16,6 +17,9 @@
 /** Time after the deadline for the target's node to pass on an answer that came just in time. */
 inline constexpr duration answer_grace = std::chrono::milliseconds(80);
 
+/** Answers of targets from this status on say that the request has failed. */
+inline constexpr int first_error_status = 500;
+
 /** Retry delay for callers if no target takes their request and no node has given a delay. */
 inline constexpr duration default_retry_after = std::chrono::milliseconds(250);
 
@@ -29,6 +33,7 @@
     const mesh::route* route{nullptr};
     const mesh::organisation* holder{nullptr}; ///< Of the caller's key; null for nested calls.
     relay_request request;
+    std::string parent_route; ///< Of the run that makes this call; empty if it is not nested.
     attempt_plan plan{1, false};
     std::vector<known_target_ptr> tried;
     known_target_ptr sent_to;        ///< Target of the attempt in flight.
@@ -60,6 +65,7 @@
     std::string route;
     std::string service;
     time_point last_call;
+    admission::chain_capacity capacity{}; ///< For runs that call the service.
 };
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/target_job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderhoist/quarantine/request_digests.hpp"
+#include "lavenderhoist/relay/run_progress.hpp"
 #include "lavenderhoist/relay/target_port.hpp"
 
 #include <memory>
@@ -24,6 +25,7 @@
     std::string target_id;
     std::int64_t target_started_at_ms{0};
     time_point sent_at;
+    run_progress progress;
     bool admitted{false};
     bool sent{false};
 };
--- a/libs/relay/include/lavenderhoist/relay/relay_request.hpp
+++ b/libs/relay/include/lavenderhoist/relay/relay_request.hpp
@@ -22,6 +22,7 @@
     admission::priority importance{0};
     bool is_nested{false};  ///< A call made for a request that a target is already working on.
     bool idempotent{false}; ///< It may run more than once.
+    bool is_retry{false}; ///< An attempt after one that reached a target, or a call of such a run.
     std::optional<rate_hint> target_rate{}; ///< What the entry knows of the target it is sent to.
 };
 
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -24,6 +24,7 @@
 namespace lavenderhoist::relay {
 
 class crash_watch;
+struct run_progress;
 
 /**
  * \brief Sends requests to the local target: admission, connections, and proof of whether a request
@@ -88,6 +89,15 @@
      * call. */
     const relay_request* find_running(std::string_view request_id) const;
 
+    /** \returns the progress of that request, or null if the target does not run it. Valid until
+     * the next call. */
+    run_progress* find_progress(std::string_view request_id);
+
+    /** \brief Called when the target has completed a run that made nested calls, with its route and
+     * the number of calls. */
+    using run_handler = std::function<void(const std::string& route, int calls)>;
+    void set_run_handler(run_handler handler) { run_handler_ = std::move(handler); }
+
     /** \brief Returns the admission level that applies to the nested calls of a route; nothing if
      * requests of the route make no calls. */
     using callee_level =
@@ -164,6 +174,7 @@
     std::unordered_map<std::string, time_point> refused_ids_;
     ticket last_ticket_{0};
     callee_level callee_level_;
+    run_handler run_handler_;
     time_point down_until_{};
     time_point answered_at_{}; ///< When the target last answered, on any connection.
     bool is_checking_target_{false};
--- a/libs/relay/src/attempt_plan.cpp
+++ b/libs/relay/src/attempt_plan.cpp
@@ -1,10 +1,12 @@
 #include "lavenderhoist/relay/attempt_plan.hpp"
 
+#include <utility>
+
 namespace lavenderhoist::relay {
 
 next_step attempt_plan::on_answer(const relay_answer& answer, duration time_left) noexcept {
     open_ = false;
-    if (answer.reached_target) {
+    if (answer.reached_target && !std::exchange(is_resend_, false)) {
         ++reached_;
     }
     if (answer.result == execution::answered) {
@@ -15,6 +17,11 @@
         may_have_run_ = true;
     }
     const bool is_safe = idempotent_ || !may_have_run_;
+    const bool is_shed = answer.reached_target && answer.result == execution::not_run;
+    if (is_shed && is_safe && reached_ >= attempts_ && resends_ < max_resends &&
+        time_left >= min_time_left) {
+        return next_step::resend;
+    }
     const bool has_attempts_left = placements_ < max_placements && reached_ < attempts_;
     if (!is_safe || !has_attempts_left || time_left < min_time_left) {
         return next_step::fail;
--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -104,6 +104,9 @@
         }));
     local_target.set_callee_level(
         [this](const std::string& route) { return request_entry.callee_level(route); });
+    local_target.set_run_handler([this](const std::string& route, int calls) {
+        request_entry.on_run_completed(route, calls);
+    });
     events->on_request = [this](const std::shared_ptr<net::http_session>& session,
                                 net::request message) {
         request_entry.serve(session, std::move(message));
@@ -209,6 +212,7 @@
     local_target.on_window();
     peers.check_liveness();
     request_entry.refresh_levels();
+    request_entry.on_window();
     crashes.tell_cleared();
     ++ticks;
     if (ticks % ticks_per_sweep == 0) {
--- a/libs/relay/src/entry.cpp
+++ b/libs/relay/src/entry.cpp
@@ -198,7 +198,10 @@
     request.route = route->name;
     request.is_nested = parent != nullptr;
     if (parent != nullptr) {
-        record_call(parent->route, *made);
+        request.importance = parent->importance;
+        request.is_retry = parent->is_retry;
+        made->parent_route = parent->route;
+        record_call(*made);
     }
     if (refusing_ && parent == nullptr) {
         answer_error(session, id, status_unavailable, "draining", default_retry_after);
@@ -279,7 +282,11 @@
         return;
     }
     auto& service = services_[request->request.service];
-    service.budget.on_request(request->started_at, budget_limits());
+    if (request->request.is_retry) {
+        service.budget.on_inherited_retry(request->started_at, budget_limits());
+    } else {
+        service.budget.on_request(request->started_at, budget_limits());
+    }
     service.failure_budget.on_request(request->started_at, budget_limits());
     service.last_request_at[request->route->name] = request->started_at;
     if (!request->request.is_nested) {
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr int first_error_status = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
--- a/libs/relay/src/entry_attempts.cpp
+++ b/libs/relay/src/entry_attempts.cpp
@@ -1,5 +1,6 @@
 #include "lavenderhoist/relay/crash_watch.hpp"
 #include "lavenderhoist/relay/internal/entry_state.hpp"
+#include "lavenderhoist/relay/run_progress.hpp"
 
 #include "lavenderhoist/core/hash.hpp"
 
@@ -15,6 +16,10 @@
 /** Share of the allowed retries that is used: nested calls of a retry count as retries as well. */
 constexpr double retry_share = 0.5;
 
+/** The same for calls that a service sheds whatever its load, while the runs that make them are
+ * limited: there, calls made by retries are counted one by one. */
+constexpr double chain_retry_share = 0.8;
+
 /** Share of a service's requests that may be retried after a 500 answer. It is many times the rate
  * at which single targets fail; a higher failure rate has a common cause in a service below, and
  * retries would multiply the calls to that service. */
@@ -37,6 +42,30 @@
             settings_.retry_window};
 }
 
+mesh::windowed_retry_budget::limits entry::chain_budget_limits() const {
+    auto bounds = budget_limits();
+    bounds.ratio = settings_.retry_ratio * chain_retry_share;
+    bounds.counts_earlier_windows = true;
+    return bounds;
+}
+
+bool entry::try_take_retry(const pending& request, const relay_answer& answer) {
+    const auto& service = request.request.service;
+    auto* const callee = find_callee(request);
+    const bool is_limited = callee != nullptr && callee->capacity.runs_per_second();
+    if (answer.failure.code != errc::target_shed || !is_limited) {
+        return try_take_retry(service);
+    }
+    const auto* const progress = local_target_.find_progress(parent_of(request.request.id));
+    const int completed = progress == nullptr ? 0 : progress->completed;
+    if (!callee->capacity.try_take_retry(request.request.importance, completed)) {
+        counters_.count("chain_retries_denied");
+        return false;
+    }
+    counters_.count("chain_retries");
+    return services_[service].budget.try_take(runtime_clock::now(), chain_budget_limits());
+}
+
 bool entry::try_take_retry(const std::string& service) {
     return services_[service].budget.try_take(runtime_clock::now(), budget_limits());
 }
@@ -130,6 +159,7 @@
     request->sent_to = target;
     request->cancel = nullptr;
     request->request.target_rate = target->known_rate();
+    request->request.is_retry = request->request.is_retry || request->plan.reached() > 0;
     target->on_sent();
     auto done = [this, request, target, number](relay_answer answer) {
         if (!request->finished && request->attempt_number == number) {
@@ -182,12 +212,39 @@
            request.plan.may_retry_answered(request.request.deadline - now);
 }
 
+entry::known_target_ptr entry::choose_shedding_target(const pending& request) {
+    const auto now = runtime_clock::now();
+    std::vector<known_target_ptr> targets;
+    std::vector<mesh::candidate> options;
+    for (const auto& target : request.tried) {
+        if (target->is_available(now)) {
+            targets.push_back(target);
+            options.push_back(target->option(request.route->name, now));
+        }
+    }
+    const auto index = placement_.choose(options, admission::closed_level);
+    return index ? targets[*index] : nullptr;
+}
+
+/** Only the targets that the request has reached may get it, and these have refused it. */
+void entry::resend(const pending_ptr& request, const relay_answer& refusal) {
+    const auto target = choose_shedding_target(*request);
+    if (!target || !try_take_retry(*request, refusal)) {
+        fail(request, refusal);
+        return;
+    }
+    counters_.count("resends");
+    request->plan.on_resend();
+    start_attempt(request, target);
+}
+
 void entry::on_answer(const pending_ptr& request, const known_target_ptr& target,
                       relay_answer answer) {
     const auto now = runtime_clock::now();
     request->sent_to.reset();
     request->cancel = nullptr;
     record_health(request->request.service, *target, answer, now);
+    record_attempt(*request, answer);
     if (answer.load) {
         target->on_report(request->route->name, *answer.load, now);
     }
@@ -208,8 +265,11 @@
         }
         deliver(request, std::move(answer.message));
         return;
+    case next_step::resend:
+        resend(request, answer);
+        return;
     case next_step::retry:
-        if (!try_take_retry(request->request.service)) {
+        if (!try_take_retry(*request, answer)) {
             fail(request, answer);
             return;
         }
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -104,6 +104,9 @@
     if (request.idempotent) {
         fields.push_back({"lh-repeatable", "1"});
     }
+    if (request.is_retry) {
+        fields.push_back({"lh-retry", "1"});
+    }
     if (request.target_rate) {
         fields.push_back(
             {"lh-known-rate", std::to_string(encode_rate(request.target_rate->per_second))});
@@ -124,6 +127,7 @@
     request.caller = field("lh-caller");
     request.is_nested = !field("lh-under-way").empty();
     request.idempotent = !field("lh-repeatable").empty();
+    request.is_retry = !field("lh-retry").empty();
     request.target_rate = parse_rate_hint(field("lh-known-rate"), field("lh-known-start"));
     const auto left = parse<std::int64_t>(field("lh-left-us"));
     const auto objective = parse<std::int64_t>(field("lh-objective-us"));
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -26,6 +26,9 @@
  * the rest covers transfer and variance. */
 constexpr int objective_percent = 85;
 
+/** Answers from this status on say that a run has failed. */
+constexpr int first_error_status = 500;
+
 /** Log lines a second about requests without an answer from the target. */
 constexpr double failure_lines_per_second = 5;
 
@@ -260,6 +263,11 @@
     release_route_slot(*job);
     const auto decisions = controller_->on_end(job->id, how, runtime_clock::now());
     answer.reached_target = job->sent;
+    const bool is_completed =
+        answer.result == execution::answered && answer.message.status < first_error_status;
+    if (is_completed && job->progress.calls > 0 && run_handler_) {
+        run_handler_(job->request.route, job->progress.calls);
+    }
     answer.load = load(job->request.route);
     if (answer.result != execution::answered) {
         log_failure(job->request, answer);
@@ -283,6 +291,11 @@
     return found == running_.end() ? nullptr : &found->second->request;
 }
 
+run_progress* target_port::find_progress(std::string_view request_id) {
+    const auto found = running_.find(request_id);
+    return found == running_.end() ? nullptr : &found->second->progress;
+}
+
 void target_port::on_deadline(const job_ptr& job) {
     if (!jobs_.contains(job->id)) {
         return;
