Runs are limited by a steadier estimate, with retries to spare

Retries now tolerate half a rank, a fifth of them is kept for variation, and the share of shed calls is taken over a second.

--- a/libs/admission/include/lavenderhoist/admission/chain_capacity.hpp
+++ b/libs/admission/include/lavenderhoist/admission/chain_capacity.hpp
@@ -68,7 +68,7 @@
 
 private:
     /** Attempts are evaluated over this many windows. */
-    static constexpr std::size_t evaluated_windows = 5;
+    static constexpr std::size_t evaluated_windows = 10;
 
     struct attempts {
         int all{0};
--- a/libs/admission/src/chain_capacity.cpp
+++ b/libs/admission/src/chain_capacity.cpp
@@ -20,6 +20,13 @@
 /** The share of these that the first calls of runs leave to runs that have begun. */
 constexpr double begun_share = 0.5;
 
+/** Share of the allowed retries that runs are admitted for; the rest covers their variation. */
+constexpr double planned_share = 0.8;
+
+/** Runs that are this little below the level still get retries: the entry that let them in goes by
+ * the levels of several nodes. */
+constexpr priority level_tolerance = cohorts / 2;
+
 /** Growth per window of the runs that are let in after the end of the shedding. */
 constexpr int reopening_factor = 2;
 
@@ -78,7 +85,7 @@
         return true;
     }
     const double reserved = completed_calls > 0 ? 0 : max_retries_ * begun_share;
-    if (importance < level() || retries_ - reserved < 1) {
+    if (importance < level() - level_tolerance || retries_ - reserved < 1) {
         return false;
     }
     retries_ -= 1;
@@ -93,7 +100,7 @@
     if (is_limiting()) {
         const double succeeding = std::max(min_success_share, 1 - shed_share());
         const double retries_per_run = *calls_per_run_ * (1 - succeeding) / succeeding;
-        runs_per_second_ = retries_per_second / retries_per_run;
+        runs_per_second_ = planned_share * retries_per_second / retries_per_run;
         const double runs = *runs_per_second_ * seconds_per_window;
         seen.overloaded = true;
         seen.capacity = static_cast<int>(std::ceil(runs));
