--- a/libs/admission/src/chain_capacity.cpp
+++ b/libs/admission/src/chain_capacity.cpp
@@ -23,9 +23,9 @@
 /** Share of the allowed retries that runs are admitted for; the rest covers their variation. */
 constexpr double planned_share = 0.8;
 
-/** Runs that are this little below the level still get retries: the entry that let them in goes by
- * the levels of several nodes. */
-constexpr priority level_tolerance = cohorts / 2;
+/** Runs less than a rank below the level still get retries: the entry that let them in goes by the
+ * levels of several nodes. */
+constexpr priority level_tolerance = cohorts;
 
 /** Growth per window of the runs that are let in after the end of the shedding. */
 constexpr int reopening_factor = 2;
--- a/libs/admission/src/concurrency_limit.cpp
+++ b/libs/admission/src/concurrency_limit.cpp
@@ -11,6 +11,9 @@
 constexpr double min_increase = 1.0;     // requests a window
 constexpr double increase_share = 0.02;  // of the slots a window, if above the minimum
 
+/** A target that sheds while less than this share of its limit is in use doesn't lack slots. */
+constexpr double min_full_share = 0.5;
+
 /** A target that lacks slots sheds few requests once the limit is lowered. One that still sheds
  * more than this share in this many consecutive windows fails for another reason, and a lower limit
  * only leaves its slots unused. */
@@ -47,7 +50,8 @@
 void concurrency_limit::on_shed(int in_flight) noexcept {
     is_slow_start_ = false;
     ++shed_requests_;
-    if (shed_requests_ > 1 || is_faulty()) {
+    const bool has_free_slots = in_flight < limit_ * min_full_share;
+    if (shed_requests_ > 1 || has_free_slots || is_faulty()) {
         return;
     }
     limit_ = std::clamp(in_flight * decrease_factor, 1.0, limit_);
