A class's guarantee is a share of what the scarce service serves

Requests that the overload doesn't touch counted towards the guaranteed share of those that it does.

--- a/libs/admission/include/lavenderhoist/admission/guaranteed_share.hpp
+++ b/libs/admission/include/lavenderhoist/admission/guaranteed_share.hpp
@@ -16,8 +16,8 @@
  * first.
  *
  * The guarantee has two bounds: a share of the requests of the class, and the same share of all
- * requests of this entry that are served. Callers that retry more often, or a class whose demand
- * grows many times over, thus take no more than that from the higher ranks.
+ * restricted requests of this entry that are served. Callers that retry more often, or a class
+ * whose demand grows many times over, thus take no more than that from the higher ranks.
  *
  * A pure state machine. It counts requests that arrive from callers, not their nested calls.
  */
@@ -30,8 +30,10 @@
     /** \brief A request of a class has arrived. */
     void on_request(std::string_view class_name);
 
-    /** \brief A request of a class was served. \param guaranteed true if try_take() admitted it. */
-    void on_served(std::string_view class_name, bool guaranteed);
+    /** \brief A request of a class was served. \param guaranteed true if try_take() admitted it.
+     * \param restricted false if nothing of what serves the class is overloaded: such requests give
+     * the others no claim, as they don't use the scarce service. */
+    void on_served(std::string_view class_name, bool guaranteed, bool restricted = true);
 
     /** \brief Admits a request that would be refused otherwise, if the share of its class is not
      * used up. \returns true if the request is admitted. */
--- a/libs/admission/src/guaranteed_share.cpp
+++ b/libs/admission/src/guaranteed_share.cpp
@@ -23,8 +23,10 @@
     found->second = std::min(found->second + share, max_balance);
 }
 
-void guaranteed_share::on_served(std::string_view class_name, bool guaranteed) {
-    total_balance_ = std::min(total_balance_ + share, max_balance);
+void guaranteed_share::on_served(std::string_view class_name, bool guaranteed, bool restricted) {
+    if (restricted) {
+        total_balance_ = std::min(total_balance_ + share, max_balance);
+    }
     const auto found = balances_.find(class_name);
     if (found != balances_.end() && !guaranteed) {
         found->second = std::max(found->second - 1, -max_debt);
--- a/libs/admission/test/guaranteed_share_test.cpp
+++ b/libs/admission/test/guaranteed_share_test.cpp
@@ -127,4 +127,29 @@
     EXPECT_LE(admitted, (orders + admitted) * guaranteed_share::share + max_balance + 1);
 }
 
+// Load pattern: the service that "reads" and "orders" call can serve few of them, while uploads,
+// which don't call it, are all served. The guarantee of the reads then took all of what was left.
+TEST(guaranteed_share, requests_that_do_not_use_the_scarce_service_give_no_claim_to_it) {
+    guaranteed_share subject;
+    double admitted = 0;
+    double orders = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        subject.on_request("uploads");
+        subject.on_served("uploads", false, false);
+        if (i % 10 == 0) {
+            subject.on_request("orders");
+            subject.on_served("orders", false);
+            ++orders;
+        }
+        for (int n = 0; n < 5; ++n) {
+            subject.on_request("reads");
+            if (subject.try_take("reads")) {
+                ++admitted;
+                subject.on_served("reads", true);
+            }
+        }
+    }
+    EXPECT_LE(admitted, (orders + admitted) * guaranteed_share::share + max_balance + 1);
+}
+
 } // namespace lavenderhoist::admission
--- a/libs/relay/include/lavenderhoist/relay/entry.hpp
+++ b/libs/relay/include/lavenderhoist/relay/entry.hpp
@@ -119,7 +119,7 @@
     const std::string& choose_service(const mesh::route& route);
     void place(const pending_ptr& request);
     bool try_raise_to_guaranteed(pending& request);
-    known_target_ptr choose_target(const pending& request, bool& all_refuse);
+    known_target_ptr choose_target(pending& request, bool& all_refuse);
     known_target_ptr choose_shedding_target(const pending& request);
     void resend(const pending_ptr& request, const relay_answer& refusal);
     std::vector<known_target_ptr> candidates_for(const pending& request, bool include_stopping,
--- a/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
+++ b/libs/relay/include/lavenderhoist/relay/internal/entry_state.hpp
@@ -42,6 +42,7 @@
     std::optional<net::deadline_queue::handle> deadline;
     time_point started_at;
     relay_answer last_failure;
+    admission::priority service_level{admission::open_level}; ///< When a target was last chosen.
     std::optional<net::response>
         failure_answer; ///< A 500 answer, delivered if no further attempt succeeds.
     bool finished{false};
--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -53,7 +53,8 @@
     const bool has_failed = message.status >= first_error_status;
     outcomes_.on_answered(request->route->name, has_failed);
     if (!request->request.is_nested && !has_failed) {
-        guaranteed_.on_served(request->route->name, request->is_guaranteed());
+        guaranteed_.on_served(request->route->name, request->is_guaranteed(),
+                              request->service_level > admission::open_level);
     }
     if ((has_failed ? failure_lines_ : success_lines_).take(now)) {
         log_end(*request, nullptr, message.status);
--- a/libs/relay/src/entry_attempts.cpp
+++ b/libs/relay/src/entry_attempts.cpp
@@ -92,7 +92,7 @@
     return found;
 }
 
-entry::known_target_ptr entry::choose_target(const pending& request, bool& all_refuse) {
+entry::known_target_ptr entry::choose_target(pending& request, bool& all_refuse) {
     const auto now = runtime_clock::now();
     // A node that shuts down still serves for some seconds: used only if no other target is left.
     auto targets = candidates_for(request, false, now);
@@ -102,6 +102,7 @@
     // An entry hears of few targets of a large service within a second: the others are assumed to
     // have its level.
     const auto default_level = service_level(request.route->name, request.request.service, now);
+    request.service_level = default_level;
     std::vector<mesh::candidate> options;
     for (const auto& target : targets) {
         options.push_back(target->option(request.route->name, now, default_level));
