--- a/libs/relay/src/entry_answers.cpp
+++ b/libs/relay/src/entry_answers.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr int first_error_status = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -54,7 +53,8 @@
     const bool has_failed = message.status >= first_error_status;
     outcomes_.on_answered(request->route->name, has_failed);
     if (!request->request.is_nested && !has_failed) {
-        guaranteed_.on_served(request->route->name, request->is_guaranteed());
+        guaranteed_.on_served(request->route->name, request->is_guaranteed(),
+                              request->service_level > admission::open_level);
     }
     if ((has_failed ? failure_lines_ : success_lines_).take(now)) {
         log_end(*request, nullptr, message.status);
