Admission: the limit of a started target follows its answers

Cause: the slow start doubled the limit each window whatever the target answered: a target that runs half of its slots at once in its cold phase had all of them after 200 ms, and each request took as much longer. After an ejection, an entry sent one call until it was answered and then all that waited.

Change: admission::ramp_up raises the limit by half a request with each answer and compares response times with those at its beginning; a growth lowers the limit to what it implies, unless it outlasts the decrease. It replaces the slow start of concurrency_limit. routing::target_state lets the calls in flight double with each answer after an ejection, and halves them with each failure.

--- a/libs/admission/include/lavenderhoist/admission.hpp
+++ b/libs/admission/include/lavenderhoist/admission.hpp
@@ -8,6 +8,7 @@
 #include "lavenderhoist/admission/guaranteed_share.hpp"
 #include "lavenderhoist/admission/objective_limit.hpp"
 #include "lavenderhoist/admission/priority.hpp"
+#include "lavenderhoist/admission/ramp_up.hpp"
 #include "lavenderhoist/admission/rate_limiter.hpp"
 #include "lavenderhoist/admission/request_info.hpp"
 #include "lavenderhoist/admission/utilisation_tuner.hpp"
--- a/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
+++ b/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lavenderhoist/admission/ramp_up.hpp"
+
 #include "lavenderhoist/core/clock.hpp"
 
 namespace lavenderhoist::admission {
@@ -7,13 +9,14 @@
 /**
  * \brief Adaptive concurrency limit of a target, at most the number of slots in the inventory.
  *
- * A target on cold start begins with a low limit, which doubles each window until the target sheds
- * a request (slow start). A target that sheds a request within the limit has fewer slots than the
- * inventory says: the limit falls below the number in flight, and then grows by at least one each
- * window.
+ * A target that has just started begins with a low limit, which `ramp_up` raises with its answers
+ * until all slots are in use or the target sheds a request. A target that sheds a request within
+ * the limit has fewer slots than the inventory says: the limit falls below the number in flight,
+ * and then grows by at least one each window.
  *
- * Latency alone does not lower the limit: a target whose back end has slowed down is not relieved
- * by leaving its slots empty. docs/DESIGN.md compares this with a latency gradient.
+ * After the ramp-up, latency alone does not lower the limit: a target whose back end has slowed
+ * down is not relieved by leaving its slots empty. docs/DESIGN.md compares this with a latency
+ * gradient.
  */
 class concurrency_limit {
 public:
@@ -26,7 +29,7 @@
     /** \brief Applies a changed number of slots from the inventory. */
     void resize(int slots) noexcept;
 
-    /** \brief The target has been replaced or restarted: slow start begins again. */
+    /** \brief The target has been replaced or restarted: the ramp-up begins again. */
     void restart() noexcept;
 
     /** \brief The target has been running for a while: the limit is all of its slots at once. */
@@ -39,6 +42,12 @@
      */
     void record_in_flight(int in_flight) noexcept;
 
+    /** \brief The target answered a request in full after `time_in_slot`, while `in_flight`
+     * requests were in flight, this one included. */
+    void on_answered(duration time_in_slot, int in_flight) noexcept;
+
+    ramp_up::phase ramp_phase() const noexcept { return ramp_.current_phase(); }
+
     /** \brief A request released its slot, with any result. */
     void on_ended() noexcept { ++ended_requests_; }
 
@@ -55,7 +64,7 @@
     int shed_requests_{0};    ///< Shed by the target in this window.
     int ended_requests_{0};   ///< Slots released in this window, shed requests included.
     int shedding_windows_{0}; ///< Consecutive windows with a large share of shed requests.
-    bool is_slow_start_{true};
+    ramp_up ramp_;
 };
 
 } // namespace lavenderhoist::admission
--- a/libs/admission/include/lavenderhoist/admission/controller.hpp
+++ b/libs/admission/include/lavenderhoist/admission/controller.hpp
@@ -81,6 +81,7 @@
     void resize(int slots) noexcept { limit_.resize(slots); }
 
     int limit() const noexcept { return std::min(limit_.value(), tuner_.limit(limit_.slots())); }
+    ramp_up::phase ramp_phase() const noexcept { return limit_.ramp_phase(); }
     int in_flight() const noexcept { return static_cast<int>(running_.size()); }
     int waiting() const noexcept { return static_cast<int>(queue_.size()); }
 
--- a/libs/admission/src/concurrency_limit.cpp
+++ b/libs/admission/src/concurrency_limit.cpp
@@ -5,8 +5,6 @@
 namespace lavenderhoist::admission {
 namespace {
 
-constexpr double cold_limit_share = 0.25; // initial limit, as a share of the slots
-constexpr double slow_start_factor = 2.0;
 constexpr double decrease_factor = 0.95; // of the number in flight, when the target sheds
 constexpr double min_increase = 1.0;     // requests a window
 constexpr double increase_share = 0.02;  // of the slots a window, if above the minimum
@@ -17,13 +15,11 @@
 constexpr double min_faulty_share = 0.2;
 constexpr int min_faulty_windows = 3;
 
-double cold_limit(int slots) {
-    return std::max(1.0, slots * cold_limit_share);
-}
-
 } // namespace
 
-concurrency_limit::concurrency_limit(int slots) : slots_(slots), limit_(cold_limit(slots)) {}
+concurrency_limit::concurrency_limit(int slots) : slots_(slots), limit_(1), ramp_(slots) {
+    limit_ = ramp_.limit();
+}
 
 void concurrency_limit::resize(int slots) noexcept {
     if (slots == slots_) {
@@ -31,21 +27,22 @@
     }
     const bool was_full = limit_ >= slots_;
     slots_ = slots;
-    limit_ = was_full ? slots : std::min<double>(limit_, slots);
+    ramp_.resize(slots);
+    limit_ = was_full && ramp_.is_done() ? slots : std::min<double>(limit_, slots);
 }
 
 void concurrency_limit::restart() noexcept {
-    limit_ = cold_limit(slots_);
-    is_slow_start_ = true;
+    ramp_.restart(slots_);
+    limit_ = ramp_.limit();
 }
 
 void concurrency_limit::assume_warm() noexcept {
     limit_ = slots_;
-    is_slow_start_ = false;
+    ramp_.finish();
 }
 
 void concurrency_limit::on_shed(int in_flight) noexcept {
-    is_slow_start_ = false;
+    ramp_.finish();
     ++shed_requests_;
     if (shed_requests_ > 1 || is_faulty()) {
         return;
@@ -53,6 +50,14 @@
     limit_ = std::clamp(in_flight * decrease_factor, 1.0, limit_);
 }
 
+void concurrency_limit::on_answered(duration time_in_slot, int in_flight) noexcept {
+    if (ramp_.is_done()) {
+        return;
+    }
+    ramp_.on_answered(time_in_slot, in_flight);
+    limit_ = ramp_.limit();
+}
+
 void concurrency_limit::record_in_flight(int in_flight) noexcept {
     peak_in_flight_ = std::max(peak_in_flight_, in_flight);
 }
@@ -66,10 +71,9 @@
         shed_requests_ > 0 && shed_requests_ > ended_requests_ * min_faulty_share;
     shedding_windows_ = is_shed_share_high ? shedding_windows_ + 1 : 0;
     const bool was_used = peak_in_flight_ * 2 >= value();
-    if ((shed_requests_ == 0 || is_faulty()) && was_used) {
+    if ((shed_requests_ == 0 || is_faulty()) && was_used && ramp_.is_done()) {
         const double increase = std::max(min_increase, slots_ * increase_share);
-        limit_ = is_slow_start_ ? limit_ * slow_start_factor : limit_ + increase;
-        limit_ = std::min<double>(limit_, slots_);
+        limit_ = std::min<double>(limit_ + increase, slots_);
     }
     shed_requests_ = 0;
     ended_requests_ = 0;
--- a/libs/admission/src/controller.cpp
+++ b/libs/admission/src/controller.cpp
@@ -110,6 +110,7 @@
     }
     if (how == completion::answered) {
         ++answered_requests_;
+        limit_.on_answered(time_in_slot, in_flight() + 1);
         record_service_time(time_in_slot);
     }
     refuse_expired(now, decisions);
--- a/libs/relay/src/target_port_logs.cpp
+++ b/libs/relay/src/target_port_logs.cpp
@@ -24,6 +24,7 @@
     }
     (*line)["service_ms"] =
         std::chrono::duration<double, std::milli>(controller_->service_time()).count();
+    (*line)["ramp"] = admission::to_string(controller_->ramp_phase());
     (*line)["sent"] =
         totals_.sent_requests - std::exchange(logged_sent_requests_, totals_.sent_requests);
     if (notice_.rate_limit) {
--- a/libs/routing/include/lavenderhoist/routing/target_state.hpp
+++ b/libs/routing/include/lavenderhoist/routing/target_state.hpp
@@ -9,8 +9,9 @@
 /**
  * \brief Load and failures of one target, as one entry observes them in its calls.
  *
- * Ejects a target after consecutive failures. After the ejection, one call at a time is allowed as
- * a probe until one is answered.
+ * Ejects a target after consecutive failures. After the ejection, one call may be in flight; each
+ * answer doubles that number until it bounds nothing any more, each failure halves it, and a
+ * failure while it is one ejects the target again.
  */
 class target_state {
 public:
@@ -18,6 +19,9 @@
     static constexpr int failures_to_eject = 3;
     static constexpr duration base_ejection_time = std::chrono::milliseconds(500);
     static constexpr duration max_ejection_time = std::chrono::seconds(8);
+    /** \brief The recovery is over when this many calls may be in flight: more than one entry sends
+     * to one target. */
+    static constexpr int max_recovery_calls = 256;
 
     int in_flight() const noexcept { return in_flight_; }
 
@@ -28,6 +32,9 @@
 
     void on_sent() noexcept { ++in_flight_; }
 
+    /** \brief True from an ejection until answers have shown that the target has recovered. */
+    bool is_recovering() const noexcept { return recovery_calls_ < max_recovery_calls; }
+
     /** \brief An answer was received, with any result: the target is alive. */
     void on_answer() noexcept;
 
@@ -43,7 +50,7 @@
     int failures_{0};                            ///< Consecutive failures.
     duration ejection_time_{base_ejection_time}; ///< Length of the next ejection.
     time_point ejected_until_{};
-    bool is_probing_{false};
+    int recovery_calls_{max_recovery_calls}; ///< Calls that may be in flight during the recovery.
 };
 
 } // namespace lavenderhoist::routing
--- a/libs/routing/test/selector_test.cpp
+++ b/libs/routing/test/selector_test.cpp
@@ -79,6 +79,59 @@
     EXPECT_TRUE(state.is_available(last));
 }
 
+// Load pattern: an entry has many requests waiting for a target that returns from an ejection.
+// Guards against sending them all after the first answer, and against one call at a time for many
+// answers.
+TEST(target_state, after_an_ejection_its_share_doubles_with_each_answer) {
+    constexpr int waiting_requests = 60;
+    target_state state;
+    for (int i = 0; i < target_state::failures_to_eject; ++i) {
+        state.on_sent();
+        state.on_failure(start);
+    }
+    const auto later = start + target_state::base_ejection_time;
+    const auto fill = [&] {
+        while (state.is_available(later) && state.in_flight() < waiting_requests) {
+            state.on_sent();
+        }
+        return state.in_flight();
+    };
+    EXPECT_EQ(fill(), 1);
+    state.on_answer();
+    EXPECT_EQ(fill(), 2);
+    state.on_answer();
+    EXPECT_EQ(fill(), 4);
+    int answers = 2;
+    for (; fill() < waiting_requests && answers < waiting_requests; ++answers) {
+        state.on_answer();
+    }
+    EXPECT_LE(answers, 6); // 2 to the power of 6 is more than are waiting
+}
+
+TEST(target_state, a_failure_halves_the_share_of_a_returning_target) {
+    target_state state;
+    for (int i = 0; i < target_state::failures_to_eject; ++i) {
+        state.on_sent();
+        state.on_failure(start);
+    }
+    const auto later = start + target_state::base_ejection_time;
+    for (int i = 0; i < 2; ++i) {
+        state.on_sent();
+        state.on_answer(); // two answers: four calls
+    }
+    state.on_sent();
+    state.on_failure(later);
+    EXPECT_FALSE(state.is_ejected(later));
+    state.on_sent();
+    EXPECT_TRUE(state.is_available(later));
+    state.on_sent();
+    EXPECT_FALSE(state.is_available(later)); // two calls
+    state.on_failure(later);
+    EXPECT_FALSE(state.is_available(later)); // one call, which is in flight
+    state.on_failure(later);
+    EXPECT_TRUE(state.is_ejected(later));
+}
+
 RC_GTEST_PROP(decaying_level, opens_within_its_lifetime, (int level)) {
     decaying_level subject;
     subject.record(std::abs(level % 1'024), start);
