--- a/libs/relay/include/lavenderhoist/relay/known_target.hpp
+++ b/libs/relay/include/lavenderhoist/relay/known_target.hpp
@@ -84,10 +84,12 @@
 
 private:
     double rate_load(time_point now) const noexcept;
+    duration known_run_time(const std::string& route, time_point now) const;
 
     struct received_level {
         routing::decaying_level memory;
         time_point received_at{};
+        duration run_time{0}; ///< Of requests of the route at the target; 0 if not known.
     };
 
     mesh::host_record record_;
--- a/libs/relay/include/lavenderhoist/relay/load_report.hpp
+++ b/libs/relay/include/lavenderhoist/relay/load_report.hpp
@@ -16,6 +16,7 @@
     std::optional<double> rate_limit{}; ///< Requests per second that it accepts, if limited.
     int rate_backlog{0};    ///< Requests queued, and those started ahead of the rate limit.
     bool is_leaving{false}; ///< The target has said that it is about to stop.
+    duration run_time{0};   ///< Mean time of a request of the route in its slot; 0 if not known.
 };
 
 } // namespace lavenderhoist::relay
--- a/libs/relay/include/lavenderhoist/relay/target_port.hpp
+++ b/libs/relay/include/lavenderhoist/relay/target_port.hpp
@@ -146,6 +146,7 @@
     std::optional<admission::priority> level_below(const std::string& route) const;
     route_state& state_of(const relay_request& request);
     void release_route_slot(const job& ended);
+    void record_run_time(const job& ended);
 
     boost::asio::any_io_executor executor_;
     const wire_names& names_;
@@ -155,6 +156,7 @@
     std::optional<target_settings> target_;
     std::unique_ptr<admission::controller> controller_;
     std::unordered_map<std::string, route_state> routes_;
+    std::unordered_map<std::string, duration> run_times_; ///< Mean time in a slot, by route.
     std::unordered_map<ticket, job_ptr> jobs_;
     std::unordered_map<std::string_view, job*> running_; ///< By request id; views into the jobs.
     std::unordered_map<net::http_link*, link_ptr> links_;
--- a/libs/relay/src/known_target.cpp
+++ b/libs/relay/src/known_target.cpp
@@ -18,6 +18,10 @@
 constexpr double rate_period_s =
     std::chrono::duration<double>(admission::rate_limiter::burst).count();
 
+/** A run time that was reported longer ago counts as unknown: the target may have become faster,
+ * and one that looks slow receives no requests that would show it. */
+constexpr duration run_time_lifetime = std::chrono::seconds(5);
+
 } // namespace
 
 known_target::known_target(mesh::host_record record, mesh::distance where)
@@ -58,7 +62,7 @@
     const int busy = std::max(last_report_.busy + sent_since_report_, health_.in_flight());
     mesh::candidate result{distance_, static_cast<double>(busy) / limit,
                            known_level(route, now).value_or(default_level),
-                           last_report_.service_time};
+                           last_report_.service_time, known_run_time(route, now)};
     if (const double load = rate_load(now); load > result.load) {
         result.load = load;
         result.service_time = admission::rate_limiter::burst;
@@ -66,6 +70,13 @@
     return result;
 }
 
+duration known_target::known_run_time(const std::string& route, time_point now) const {
+    const auto received = levels_.find(route);
+    const bool is_recent =
+        received != levels_.end() && now - received->second.received_at < run_time_lifetime;
+    return is_recent ? received->second.run_time : duration(0);
+}
+
 admission::priority known_target::level(const std::string& route, time_point now) const {
     return known_level(route, now).value_or(admission::open_level);
 }
@@ -100,6 +111,7 @@
     auto& received = levels_[route];
     received.memory.record(report.level, now);
     received.received_at = now;
+    received.run_time = report.run_time;
 }
 
 double known_target::capacity() const noexcept {
--- a/libs/relay/src/stream_codec.cpp
+++ b/libs/relay/src/stream_codec.cpp
@@ -46,11 +46,11 @@
     return std::to_string(load.limit) + ' ' + std::to_string(load.busy) + ' ' +
            std::to_string(load.level) + ' ' + std::to_string(in_us(load.service_time)) + ' ' +
            std::to_string(encode_rate(load.rate_limit)) + ' ' + std::to_string(load.rate_backlog) +
-           ' ' + (load.is_leaving ? '1' : '0');
+           ' ' + (load.is_leaving ? '1' : '0') + ' ' + std::to_string(in_us(load.run_time));
 }
 
 std::optional<load_report> parse_load(std::string_view text) {
-    std::array<int, 7> values{0, 0, 0, 0, no_rate, 0, 0};
+    std::array<int, 8> values{0, 0, 0, 0, no_rate, 0, 0, 0};
     constexpr std::size_t required_values = 3; // nodes of earlier versions send fewer values
     for (std::size_t i = 0; i < values.size() && (i < required_values || !text.empty()); ++i) {
         const auto end = std::min(text.find(' '), text.size());
@@ -65,6 +65,7 @@
     report.rate_limit = decode_rate(values[4]);
     report.rate_backlog = std::max(0, values[5]);
     report.is_leaving = values[6] != 0;
+    report.run_time = std::chrono::microseconds(std::max(0, values[7]));
     return report;
 }
 
--- a/libs/relay/src/target_port.cpp
+++ b/libs/relay/src/target_port.cpp
@@ -26,6 +26,12 @@
  * the rest covers transfer and variance. */
 constexpr int objective_percent = 85;
 
+/** Answers from this status on say nothing about the speed of a target: failures are often fast. */
+constexpr int first_failure_status = 400;
+
+/** Weight of the latest request in the mean run time of its route. */
+constexpr int run_time_divisor = 10;
+
 /** Log lines a second about requests without an answer from the target. */
 constexpr double failure_lines_per_second = 5;
 
@@ -73,6 +79,7 @@
         has_said_leaving_ = false;
         apply_rate_limit();
         routes_.clear();
+        run_times_.clear();
     }
     if (!is_same_start && target_->cold_start_left.count() > 0) {
         controller_->on_restart(target_->cold_start_left);
@@ -113,6 +120,9 @@
     target_load.is_leaving = has_said_leaving_;
     target_load.rate_limit = controller_->rate_limit();
     target_load.rate_backlog = controller_->rate_backlog(runtime_clock::now());
+    if (const auto run_time = run_times_.find(route); run_time != run_times_.end()) {
+        target_load.run_time = run_time->second;
+    }
     if (known == routes_.end()) {
         return target_load;
     }
@@ -216,6 +226,17 @@
     }
 }
 
+void target_port::record_run_time(const job& ended) {
+    if (!ended.sent || !is_of_current_start(ended)) {
+        return;
+    }
+    const auto time = runtime_clock::now() - ended.sent_at;
+    const auto [found, is_new] = run_times_.try_emplace(ended.request.route, time);
+    if (!is_new) {
+        found->second += (time - found->second) / run_time_divisor;
+    }
+}
+
 void target_port::apply(const std::vector<admission::decision>& decisions) {
     for (const auto& each : decisions) {
         if (const auto* const run = std::get_if<admission::admitted>(&each)) {
@@ -258,6 +279,9 @@
     }
     remove_running(*job);
     release_route_slot(*job);
+    if (how == admission::completion::answered && answer.message.status < first_failure_status) {
+        record_run_time(*job);
+    }
     const auto decisions = controller_->on_end(job->id, how, runtime_clock::now());
     answer.reached_target = job->sent;
     answer.load = load(job->request.route);
--- a/libs/relay/src/target_port_logs.cpp
+++ b/libs/relay/src/target_port_logs.cpp
@@ -30,6 +30,11 @@
     if (notice_.rate_limit) {
         (*line)["announced_per_second"] = *notice_.rate_limit;
     }
+    boost::json::object run_times;
+    for (const auto& [name, run_time] : run_times_) {
+        run_times[name] = std::chrono::duration<double, std::milli>(run_time).count();
+    }
+    (*line)["run_ms"] = std::move(run_times);
     boost::json::array routes;
     for (const auto& [name, route] : routes_) {
         boost::json::object one{
--- a/libs/relay/test/stream_codec_test.cpp
+++ b/libs/relay/test/stream_codec_test.cpp
@@ -69,6 +69,22 @@
     }
 }
 
+RC_GTEST_PROP(stream_codec, a_run_time_comes_back_as_it_was_sent, ()) {
+    load_report sent;
+    sent.run_time = std::chrono::microseconds(*rc::gen::inRange(0, 5'000'000));
+    const auto message = make_load_answer(sent);
+    const auto received = report_from(std::string(net::find_header(message.fields, "lh-load")));
+    RC_ASSERT(received.has_value());
+    RC_ASSERT(received->run_time == sent.run_time);
+}
+
+TEST(stream_codec, reports_of_the_previous_version_have_no_run_time) {
+    const auto report = report_from("10 3 0 2000 -1 0 1");
+    ASSERT_TRUE(report);
+    EXPECT_TRUE(report->is_leaving);
+    EXPECT_EQ(report->run_time, duration(0));
+}
+
 RC_GTEST_PROP(stream_codec, any_text_is_a_report_or_none, (const std::string& text)) {
     const auto report = report_from(text);
     RC_ASSERT((!report || !report->rate_limit || *report->rate_limit >= 0));
