--- a/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
+++ b/libs/admission/include/lavenderhoist/admission/concurrency_limit.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "lavenderhoist/admission/ramp_up.hpp"
-
 #include "lavenderhoist/core/clock.hpp"
 
 namespace lavenderhoist::admission {
--- a/libs/relay/test/known_target_test.cpp
+++ b/libs/relay/test/known_target_test.cpp
@@ -136,6 +136,17 @@
               mesh::placement::max_preferred_load);
 }
 
+// A target that looks slow receives no requests that would show that it has become faster.
+TEST(known_target, an_old_run_time_counts_as_unknown) {
+    const auto target = ready_target();
+    load_report report{10, 3, admission::open_level, milliseconds(20)};
+    report.run_time = milliseconds(40);
+    target->on_report(route, report, start);
+    EXPECT_EQ(target->option(route, start + std::chrono::seconds(4)).run_time, milliseconds(40));
+    EXPECT_EQ(target->option("other", start).run_time, duration(0));
+    EXPECT_EQ(target->option(route, start + std::chrono::seconds(5)).run_time, duration(0));
+}
+
 TEST(known_target, what_a_target_said_of_itself_outlives_a_new_record_of_its_host) {
     const auto older = ready_target();
     load_report report{10, 0, admission::open_level, milliseconds(5)};
