--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -187,8 +187,8 @@
         {"Version", hexadecimal(++version_)},
         {"Limits",
          {{"MaxHeaderBytes", 16'384},
-          {"MaxBodyBytes", 1'048'576},
-          {"HeaderTimeoutMs", 1'000},
+          {"MaxBodyBytes", limits_.max_body_bytes},
+          {"HeaderTimeoutMs", limits_.header_timeout_ms},
           {"IdleTimeoutMs", 5'000}}},
         {"Listeners", json::array{json::object{{"Host", host_name}, {"Rules", std::move(rules)}}}},
         {"Clusters", std::move(clusters)}};
--- a/tests/platform/world.hpp
+++ b/tests/platform/world.hpp
@@ -59,6 +59,12 @@
     double quota_burst{0};
 };
 
+/** \brief What the configuration allows callers. */
+struct limits_spec {
+    std::size_t max_body_bytes{1U << 20U};
+    int header_timeout_ms{1'000};
+};
+
 /**
  * \brief A deployment on the platform: the store and the targets are stubs in this process, the
  * nodes are separate processes.
@@ -85,6 +91,9 @@
         organisations_ = std::move(organisations);
     }
 
+    /** \brief Sets the limits of all further versions. */
+    void set_limits(const limits_spec& limits) { limits_ = limits; }
+
     /** \brief Sets the key that further requests carry; none if empty. */
     void set_key(std::string key) { key_ = std::move(key); }
 
@@ -151,6 +160,7 @@
     std::vector<std::unique_ptr<host>> hosts_;
     std::vector<route_spec> routes_;
     std::vector<organisation_spec> organisations_;
+    limits_spec limits_;
     std::string key_;
     int version_{0};
     std::atomic<int> last_id_{0};
