Refused streams keep their answer; small messages are told to return

The client now resets a stream whose answer came before the end of its body. A message below 1 MiB was refused as too large (413) although it fits once others have ended.

--- a/libs/net/src/h2_client.cpp
+++ b/libs/net/src/h2_client.cpp
@@ -116,6 +116,10 @@
     result.answer.status = finished.status;
     result.answer.fields = std::move(finished.fields);
     result.answer.body = std::move(finished.body);
+    if (finished.sent < finished.outgoing_body.size()) { // the answer did not wait for the body
+        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        flush();
+    }
     finish(id, std::move(result));
 }
 
--- a/libs/net/src/h2_server.cpp
+++ b/libs/net/src/h2_server.cpp
@@ -83,10 +83,9 @@
     }
 
     void on_refused(std::int32_t id, stream& /*refused*/) override {
+        // The client resets the stream when it has the answer. Resetting it here would drop the
+        // answer: nghttp2 sends nothing else on a stream whose reset is queued.
         answer(id, owner_->refusal());
-        // The rest of the request is not needed (RFC 9113 section 8.1).
-        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_NO_ERROR);
-        flush();
     }
 
     void on_stream_end(std::int32_t id, stream& /*ended*/, std::uint32_t /*error_code*/) override {
--- a/libs/net/src/memory_account.cpp
+++ b/libs/net/src/memory_account.cpp
@@ -47,7 +47,8 @@
         if (largest->second.is_retained || held == 0) {
             break;
         }
-        const auto what = held > max_large_bytes() ? decision::too_large : decision::refuse;
+        const auto longest = held > min_large_bytes ? max_large_bytes() : max_bytes_;
+        const auto what = held > longest ? decision::too_large : decision::refuse;
         verdicts.push_back({largest->first, what});
         set_bytes(largest->second, 0);
     }
