--- a/libs/net/src/h2_client.cpp
+++ b/libs/net/src/h2_client.cpp
@@ -34,8 +34,8 @@
     co_return made;
 }
 
-h2_client::h2_client(tcp::socket socket, std::size_t max_body_bytes)
-    : h2_connection(std::move(socket), max_body_bytes) {
+h2_client::h2_client(tcp::socket socket, std::size_t max_body_bytes, memory_pool_ptr memory)
+    : h2_connection(std::move(socket), max_body_bytes, std::move(memory)) {
     set_session(internal::make_session(*this, false));
 }
 
@@ -116,6 +116,18 @@
     result.answer.status = finished.status;
     result.answer.fields = std::move(finished.fields);
     result.answer.body = std::move(finished.body);
+    if (finished.sent < finished.outgoing_body.size()) { // the answer did not wait for the body
+        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        flush();
+    }
+    finish(id, std::move(result));
+}
+
+void h2_client::on_refused(std::int32_t id, stream& /*refused*/) {
+    nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
+    flush();
+    exchange_result result;
+    result.code = errc::bad_answer;
     finish(id, std::move(result));
 }
 
--- a/tests/platform/world.cpp
+++ b/tests/platform/world.cpp
@@ -116,7 +116,8 @@
                           {"store", which.callers.host + ":" + std::to_string(ports_[7])},
                           {"contacts", json::array{"127.0.0.2:" + std::to_string(ports_[2])}},
                           {"repeats", {{"ratio", 0.2}, {"extra", 48}, {"window_ms", 10'000}}},
-                          {"grace_ms", grace_ms}};
+                          {"grace_ms", grace_ms},
+                          {"memory_mb", host_memory_mb_}};
     std::ofstream(which.settings_file) << json::serialize(settings);
 }
 
@@ -187,8 +188,8 @@
         {"Version", hexadecimal(++version_)},
         {"Limits",
          {{"MaxHeaderBytes", 16'384},
-          {"MaxBodyBytes", 1'048'576},
-          {"HeaderTimeoutMs", 1'000},
+          {"MaxBodyBytes", limits_.max_body_bytes},
+          {"HeaderTimeoutMs", limits_.header_timeout_ms},
           {"IdleTimeoutMs", 5'000}}},
         {"Listeners", json::array{json::object{{"Host", host_name}, {"Rules", std::move(rules)}}}},
         {"Clusters", std::move(clusters)}};
