--- a/libs/net/test/h2_memory_test.cpp
+++ b/libs/net/test/h2_memory_test.cpp
@@ -40,7 +40,7 @@
         client_->start();
     }
 
-    ~bounded_server() override {
+    void TearDown() override {
         client_->shut_down();
         server_->close();
         run();
