--- a/libs/relay/src/data_worker.cpp
+++ b/libs/relay/src/data_worker.cpp
@@ -155,6 +155,7 @@
             deadlines.add(runtime_clock::now() + accept_retry_delay, [this] { accept(); });
             return;
         }
+        update_limits(); // a configuration may have come since the last sweep
         if (sessions.size() < limits->max_connections) {
             const auto made =
                 std::make_shared<net::http_session>(std::move(socket), limits, events, memory);
