--- a/review/tools-2/stand_in.hpp
+++ b/review/tools-2/stand_in.hpp
@@ -995,6 +995,7 @@
     int timeout_ms{6'000};
     int objective_ms{1'500};
     bool is_exempt{false}; ///< AuthExempt
+    std::string type{};    ///< RouteType, if it is neither idempotent nor non_idempotent.
 };
 
 /** The newest configuration, as the operator writes it; limits as in the site files. */
@@ -1007,12 +1008,14 @@
     std::set<std::string> services;
     for (const auto& each : routes) {
         services.insert(each.service);
-        rules += std::string(rules.empty() ? "" : ",") + "{\"Name\":\"r" + each.prefix +
-                 "\",\"RouteType\":\"" + (each.idempotent ? "idempotent" : "non_idempotent") +
-                 "\",\"TargetLatencyMs\":" + std::to_string(each.objective_ms) + ",\"Priority\":1" +
-                 (each.is_exempt ? ",\"AuthExempt\":true" : "") + ",\"Match\":{\"PathPrefix\":\"" +
-                 each.prefix + "\"},\"Action\":{\"Service\":\"" + each.service +
-                 "\",\"TimeoutMs\":" + std::to_string(each.timeout_ms) + ",\"Attempts\":2}}";
+        rules +=
+            std::string(rules.empty() ? "" : ",") + "{\"Name\":\"r" + each.prefix +
+            "\",\"RouteType\":\"" +
+            (!each.type.empty() ? each.type : (each.idempotent ? "idempotent" : "non_idempotent")) +
+            "\",\"TargetLatencyMs\":" + std::to_string(each.objective_ms) + ",\"Priority\":1" +
+            (each.is_exempt ? ",\"AuthExempt\":true" : "") + ",\"Match\":{\"PathPrefix\":\"" +
+            each.prefix + "\"},\"Action\":{\"Service\":\"" + each.service +
+            "\",\"TimeoutMs\":" + std::to_string(each.timeout_ms) + ",\"Attempts\":2}}";
     }
     std::string clusters;
     for (const auto& each : services) {
