review: drop two cases that the second review shows; number the others 11 to 13

HEAD and TRACE (11 and 13 of part one) are review/9 and review/6. The cases 12, 14 and 15 of part one become 11 (memory), 12 (trailer) and 13 (sessions).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15. The deploy file's build comes first.
+# Builds the stand-ins of the cases 11 to 13. The deploy file's build comes first.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
