--- a/review/tools-3/chunked_bodies.cpp
+++ b/review/tools-3/chunked_bodies.cpp
@@ -31,6 +31,7 @@
     kept_clients ordinary(log, first, "/saran/x?work=" + std::to_string(work_ms), clients);
     sleep_ms(site::stability_ms + 500);
     if (has_trouble()) {
+        others.open(0);
         others.send();
         log.line(std::to_string(others.size()) + " clients have sent a body of " +
                  std::to_string(others.body_bytes()) + " bytes in chunks of " +
--- a/review/tools-3/crowd.hpp
+++ b/review/tools-3/crowd.hpp
@@ -27,21 +27,20 @@
         return bound.rlim_cur >= needed;
     }
 
-    /** Opens the connections and sends the bodies, a chunk to each in turn. */
-    void send() {
-        char size[16];
-        std::snprintf(size, sizeof(size), "%zx\r\n", chunk_bytes_);
-        const auto chunk = size + std::string(chunk_bytes_, 'x') + "\r\n";
+    /** Opens the connections. For this time, one that is turned away tries again. */
+    void open(int ms) {
         for (std::size_t i = 0; i < connections_; ++i) {
-            auto made = std::make_unique<connection>();
-            if (made->open(through_.callers)) {
-                open_.push_back(std::move(made));
-            }
+            open_.push_back(std::make_unique<connection>());
+            open_.back()->open(through_.callers);
         }
+        persist(ms, "");
+    }
+
+    /** Sends the bodies, a chunk to each connection in turn. */
+    void send() {
+        const auto chunk = whole_chunk();
         for (std::size_t i = 0; i < open_.size(); ++i) {
-            send_in_time(*open_[i],
-                         request_head("POST", "/leny950/2f", "crowd-" + std::to_string(i), 6000) +
-                             "Transfer-Encoding: chunked\r\n\r\n");
+            send_in_time(*open_[i], head("crowd-" + std::to_string(i)));
         }
         for (std::size_t round = 0; round < chunks_; ++round) {
             for (const auto& each : open_) {
@@ -53,25 +52,13 @@
         }
     }
 
-    /** For this time, opens each connection that ended again and sends its body, as one that is
-     * turned away tries again. */
+    /** For this time, one that is turned away tries again and sends its body. */
     void persist(int ms) {
-        const auto until = steady::now() + milliseconds(ms);
-        const auto body = whole_body();
-        while (steady::now() < until) {
-            sleep_ms(1);
-            for (const auto& each : open_) {
-                char byte = 0;
-                const bool has_ended =
-                    each->is_open() && ::recv(each->fd(), &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
-                const bool was_reset = each->is_open() && !has_ended && is_reset(*each);
-                if (has_ended || was_reset || !each->is_open()) {
-                    if (each->open(through_.callers)) {
-                        send_in_time(*each, body);
-                    }
-                }
-            }
+        std::string body = head("crowd-again");
+        for (std::size_t i = 0; i < chunks_; ++i) {
+            body += whole_chunk();
         }
+        persist(ms, body + "0\r\n\r");
     }
 
     std::size_t size() const { return open_.size(); }
@@ -80,20 +67,31 @@
     void close() { open_.clear(); }
 
 private:
-    static bool is_reset(const connection& one) {
-        pollfd state{one.fd(), POLLIN, 0};
-        return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0;
+    static std::string head(const std::string& id) {
+        return request_head("POST", "/leny950/2f", id, 6000) + "Transfer-Encoding: chunked\r\n\r\n";
     }
 
-    std::string whole_body() const {
+    std::string whole_chunk() const {
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", chunk_bytes_);
-        std::string text = request_head("POST", "/leny950/2f", "crowd-again", 6000) +
-                           "Transfer-Encoding: chunked\r\n\r\n";
-        for (std::size_t i = 0; i < chunks_; ++i) {
-            text += size + std::string(chunk_bytes_, 'x') + "\r\n";
+        return size + std::string(chunk_bytes_, 'x') + "\r\n";
+    }
+
+    void persist(int ms, const std::string& text) {
+        const auto until = steady::now() + milliseconds(ms);
+        std::vector<pollfd> states(open_.size());
+        while (steady::now() < until) {
+            for (std::size_t i = 0; i < open_.size(); ++i) {
+                states[i] = {open_[i]->fd(), POLLRDHUP, 0};
+            }
+            ::poll(states.data(), states.size(), 1);
+            for (std::size_t i = 0; i < open_.size(); ++i) {
+                const bool has_ended = (states[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+                if ((has_ended || !open_[i]->is_open()) && open_[i]->open(through_.callers)) {
+                    send_in_time(*open_[i], text);
+                }
+            }
         }
-        return text + "0\r\n\r";
     }
 
     /** Gives up a connection whose peer takes nothing. */
--- a/review/tools-3/many_connections.cpp
+++ b/review/tools-3/many_connections.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t clients = 10;
 constexpr std::size_t crowd_connections = 3'300;
 constexpr std::size_t chunk_bytes = 5;
-constexpr int crowd_stays_ms = 6000;
+constexpr int fill_ms = 1000;
+constexpr int crowd_stays_ms = 5000;
 
 /** Times at which a new connection was tried, and at which one was served. */
 struct tries {
@@ -102,6 +103,7 @@
     });
     sleep_ms(2000);
     if (has_trouble()) {
+        others.open(fill_ms);
         others.send();
         log.line(std::to_string(others.size()) + " clients have sent a body of " +
                  std::to_string(others.body_bytes()) + " bytes, all but its last byte, to " +
